Lay out the modules and the shared types

Cause: an empty repository; the concerns need a frame whose borders the compiler guards. Model, decisions, inner protocol, platform client, node, stand-ins, measures and command line are Maven modules; ids, errors, the platform's interfaces and the configuration are types of the model.

--- /dev/null
+++ b/command-line/src/main/kotlin/org/nutmegspring/commandline/Main.kt
@@ -0,0 +1,6 @@
+package org.nutmegspring.commandline
+
+/** Runs the command line. */
+public fun main() {
+    println("nutmegspring")
+}
--- /dev/null
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/MeasureProvider.kt
@@ -0,0 +1,10 @@
+package org.nutmegspring.measure
+
+/** Lists the measures. */
+class MeasureProvider {
+    /** All measures in the order in which the help text lists them. */
+    val measures: List<Measure> = listOf()
+
+    /** Returns the measure called [name], or null when there is none. */
+    fun find(name: String): Measure? = measures.find { it.name == name }
+}
