--- a/node/src/main/kotlin/org/nutmegspring/node/routing/EndpointChooser.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/routing/EndpointChooser.kt
@@ -55,6 +55,6 @@
 
 /** Chooses endpoints. */
 interface EndpointChooser {
-    /** Chooses an endpoint for [work] other than those in [exclude], waiting in the admission queue when all are busy. */
+    /** Chooses an endpoint for [work] that is not in [exclude]; waits in the admission queue when all are busy. */
     suspend fun choose(work: Work, exclude: Set<EndpointId>): Either<Failure, ChosenEndpoint>
 }
