--- a/protocol/src/main/kotlin/org/nutmegspring/protocol/InnerMessage.kt
+++ b/protocol/src/main/kotlin/org/nutmegspring/protocol/InnerMessage.kt
@@ -18,6 +18,10 @@
 @Serializable
 data class UnsupportedReply(val request: String) : InnerReply
 
+/** Says that the receiver's handler of a [request] failed. Whether it had an effect is not known. */
+@Serializable
+data class HandlerFailedReply(val request: String) : InnerReply
+
 /** Handles the requests of one concern. Returns null when the request belongs to another handler. */
 fun interface InnerHandler {
     /** Handles [request], which came from the instance [from]. */
@@ -29,6 +33,10 @@
     /** Adds [handler] to those that are asked, in order of addition, to handle incoming requests. */
     fun addHandler(handler: InnerHandler)
 
-    /** Sends [request] to the instance [to] and waits at most [timeout] for the reply. */
+    /**
+     * Sends [request] to the instance [to] and waits at most [timeout] for the reply.
+     *
+     * An [UnsupportedReply] or [HandlerFailedReply] is returned as a failure.
+     */
     suspend fun exchange(to: InstanceId, request: InnerRequest, timeout: Duration): Either<Failure, InnerReply>
 }
--- /dev/null
+++ b/protocol/src/main/kotlin/org/nutmegspring/protocol/ProbeMessages.kt
@@ -0,0 +1,14 @@
+package org.nutmegspring.protocol
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** Asks whether the receiver answers. */
+@Serializable
+@SerialName("probe")
+data class ProbeRequest(val text: String) : InnerRequest
+
+/** The reply to a [ProbeRequest]. */
+@Serializable
+@SerialName("probed")
+data class ProbeReply(val text: String) : InnerReply
