--- a/node/src/main/kotlin/org/nutmegspring/node/membership/Membership.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/membership/Membership.kt
@@ -1,41 +1,13 @@
 package org.nutmegspring.node.membership
 
-import org.nutmegspring.identity.DataCentreId
-import org.nutmegspring.identity.Incarnation
+import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.identity.InstanceId
-import org.nutmegspring.identity.Revision
-import kotlin.time.Duration
 
 /** The phase of an instance's life. */
-enum class InstancePhase {
-    /** It has no current configuration yet. */
-    JOINING,
+typealias InstancePhase = org.nutmegspring.membership.InstancePhase
 
-    /** It admits requests. */
-    READY,
-
-    /** It finishes what runs and admits nothing new. */
-    DRAINING,
-}
-
-/**
- * What this instance knows of another, or of itself.
- *
- * @property evidenceAge how long ago, directly or through others, it was last known to run
- * @property storeEvidenceAge how long ago it last read the head of the configuration from the store
- */
-data class MemberState(
-    val id: InstanceId,
-    val incarnation: Incarnation,
-    val dataCentre: DataCentreId,
-    val callerAddress: String,
-    val innerAddress: String,
-    val phase: InstancePhase,
-    val load: Double,
-    val revision: Revision,
-    val evidenceAge: Duration,
-    val storeEvidenceAge: Duration?,
-)
+/** What this instance knows of another, or of itself. */
+typealias MemberState = org.nutmegspring.membership.MemberState
 
 /** The instances that this instance knows. */
 interface Membership {
@@ -47,4 +19,10 @@
 
     /** The ids that the platform last listed, this instance's included. */
     fun listed(): Set<InstanceId>
+
+    /** The endpoints that this or another instance has found to be departing. */
+    fun departingEndpoints(): Set<EndpointId> = emptySet()
+
+    /** Tells the other instances that [endpoint] is departing. */
+    fun reportDeparting(endpoint: EndpointId) = Unit
 }
