Choose engines by expected delay, votes, hash or load

The policies share one view of the engines: the last report, the work that this instance sent since, counted for all instances that see the same report, and an index of cached pieces.

--- /dev/null
+++ b/decisions/src/main/kotlin/org/nutmegspring/routing/EngineCosts.kt
@@ -0,0 +1,43 @@
+package org.nutmegspring.routing
+
+import kotlin.math.ceil
+
+/** The number of prompt tokens in one piece of the prefix cache. */
+const val TOKENS_PER_PIECE: Int = 2_000
+
+/**
+ * What an engine spends on an iteration of continuous batching. All times are in seconds.
+ *
+ * An iteration generates one token for each running stream and processes some prompt tokens beside them.
+ *
+ * @property iterationSeconds the fixed part of an iteration
+ * @property prefillSecondsPerToken the part for each prompt token
+ * @property streamSeconds the part for each running stream
+ * @property prefillTokensPerIteration the most prompt tokens that one iteration processes
+ * @property nearTransferSecondsPerPiece time to move a cached piece to an engine of the same data centre
+ * @property farTransferSecondsPerPiece time to move a cached piece to an engine of another data centre
+ * @property farRequestSeconds the round trip to an engine of another data centre
+ */
+data class EngineCosts(
+    val iterationSeconds: Double = 0.010,
+    val prefillSecondsPerToken: Double = 0.000_02,
+    val streamSeconds: Double = 0.000_2,
+    val prefillTokensPerIteration: Int = 1_024,
+    val nearTransferSecondsPerPiece: Double = 0.004,
+    val farTransferSecondsPerPiece: Double = 0.016,
+    val farRequestSeconds: Double = 0.003,
+) {
+    /** Returns the length of an iteration with [prefillTokens] and [streams]. */
+    fun iteration(prefillTokens: Double, streams: Double): Double =
+        iterationSeconds + prefillTokens * prefillSecondsPerToken + streams * streamSeconds
+
+    /** Returns the time to process [tokens] of prompts, in the order of their arrival, beside [streams]. */
+    fun prefill(tokens: Double, streams: Double): Double {
+        val iterations = ceil(tokens / prefillTokensPerIteration)
+        return iterations * iteration(0.0, streams) + tokens * prefillSecondsPerToken
+    }
+
+    /** Returns how many prompt tokens an engine with [streams] processes in a second. */
+    fun prefillTokensPerSecond(streams: Double): Double =
+        prefillTokensPerIteration / iteration(prefillTokensPerIteration.toDouble(), streams)
+}
--- /dev/null
+++ b/decisions/src/main/kotlin/org/nutmegspring/routing/Router.kt
@@ -0,0 +1,22 @@
+package org.nutmegspring.routing
+
+import org.nutmegspring.identity.EndpointId
+import org.nutmegspring.time.MonotonicTime
+import kotlin.random.Random
+
+/** Chooses engines for requests. It is not safe for concurrent use. */
+sealed interface Router {
+    /** Chooses engines for [demand] that are not in [exclude], or returns null when none takes such work. */
+    fun choose(demand: GenerationDemand, now: MonotonicTime, exclude: Set<EndpointId> = emptySet()): Placement?
+}
+
+/** Returns a router that chooses among the engines of [fleet] by [policy]. */
+fun router(fleet: FleetView, policy: RoutingPolicy, random: Random): Router = when (policy) {
+    is RoutingPolicy.ExpectedDelay -> ExpectedDelayRouter(fleet, policy, random)
+
+    is RoutingPolicy.LeastLoaded,
+    is RoutingPolicy.TwoChoices,
+    is RoutingPolicy.BoundedHash,
+    is RoutingPolicy.CacheVotes,
+    -> LoadRouter(fleet, policy, random)
+}
--- /dev/null
+++ b/decisions/src/test/kotlin/org/nutmegspring/routing/EngineViewSpec.kt
@@ -0,0 +1,59 @@
+package org.nutmegspring.routing
+
+import org.junit.jupiter.api.Nested
+import org.nutmegspring.endpoint.EngineRole
+import org.nutmegspring.endpoint.EngineTarget
+import org.nutmegspring.endpoint.LoadReport
+import org.nutmegspring.identity.DataCentreId
+import org.nutmegspring.identity.EndpointId
+import org.nutmegspring.identity.ModelId
+import org.nutmegspring.time.MonotonicTime
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class EngineViewSpec {
+    private val start = MonotonicTime.ZERO
+    private val centre = DataCentreId("brest")
+    private val id = EndpointId("engine")
+    private val demand = GenerationDemand(emptyList(), 4_000, 100, centre)
+
+    private fun report(queuedTokens: Long, streams: Int) =
+        LoadReport(id, EngineTarget(EngineRole.MIXED, ModelId("model"), "1"), false, queuedTokens, streams, 0, 1)
+
+    @Nested
+    inner class `given work sent after the report was measured` {
+        private val fleet = FleetView(EngineCosts(), instances = 7)
+        private val engine = fleet.add(id, centre)
+
+        private fun send(time: MonotonicTime) = fleet.sent(demand, Placement(engine, engine, 4_000), time)
+
+        @Test
+        fun `it counts at once, and for all instances that see the same report`() {
+            send(start)
+            assertEquals(28_000.0, engine.queuedTokens(start))
+            assertEquals(7.0, engine.streams())
+        }
+
+        @Test
+        fun `a report that was measured before it does not cancel it`() {
+            send(start + 1.seconds)
+            fleet.apply(report(0, 3), start + 1_200.milliseconds, 400.milliseconds)
+            assertEquals(10.0, engine.streams())
+        }
+
+        @Test
+        fun `a report that was measured after it replaces it`() {
+            send(start + 1.seconds)
+            fleet.apply(report(0, 3), start + 1_500.milliseconds, 400.milliseconds)
+            assertEquals(3.0, engine.streams())
+        }
+
+        @Test
+        fun `the queue is processed as time passes`() {
+            send(start)
+            assertEquals(0.0, engine.queuedTokens(start + 5.seconds))
+        }
+    }
+}
