--- a/measure/src/main/kotlin/org/nutmegspring/measure/MeasureProvider.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/MeasureProvider.kt
@@ -1,9 +1,13 @@
 package org.nutmegspring.measure
 
+import org.nutmegspring.measure.routing.RoutingMeasure
+
 /** Lists the measures. */
 class MeasureProvider {
     /** All measures in the order in which the help text lists them. */
-    val measures: List<Measure> = listOf()
+    val measures: List<Measure> = listOf(
+        RoutingMeasure(),
+    )
 
     /** Returns the measure called [name], or null when there is none. */
     fun find(name: String): Measure? = measures.find { it.name == name }
