--- a/decisions/src/main/kotlin/org/nutmegspring/routing/CacheIndex.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/routing/CacheIndex.kt
@@ -36,7 +36,7 @@
         holders.values.forEach { if (word < it.size) it[word] = it[word] and mask }
     }
 
-    /** Returns the bits of the engines that have [piece], or null when none is known. The caller must not change them. */
+    /** Returns the bits of the engines that have [piece], or null when it is not known. Callers only read them. */
     internal fun holders(piece: Long): LongArray? = holders[piece]
 
     private companion object {
--- a/decisions/src/main/kotlin/org/nutmegspring/routing/LoadRouter.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/routing/LoadRouter.kt
@@ -2,7 +2,6 @@
 
 import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.time.MonotonicTime
-import kotlin.math.ceil
 import kotlin.random.Random
 
 /** Routes by the policies that compare engines by their load. */
@@ -63,10 +62,8 @@
         val best = engines
             .filter { it.loadSeconds(now) <= policy.overload * average }
             .maxByOrNull { weightedVotes(it, sampled, average, now) }
-        val least = policy.benefit * ceil(sampled.size.toDouble() / engines.size)
-        if (best != null && sampled.isNotEmpty() && weightedVotes(best, sampled, average, now) >= minOf(least, 1.0)) {
-            return best
-        }
+        val votes = best?.let { weightedVotes(it, sampled, average, now) } ?: 0.0
+        if (best != null && votes > 0 && votes >= policy.benefit * sampled.size / engines.size) return best
         return boundedHash(engines, RoutingPolicy.BoundedHash(policy.overload), demand, now)
     }
 
--- a/decisions/src/main/kotlin/org/nutmegspring/routing/RoutingPolicy.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/routing/RoutingPolicy.kt
@@ -15,10 +15,10 @@
     data class BoundedHash(val loadBound: Double = 1.25) : RoutingPolicy
 
     /**
-     * Weighted votes: each cached piece of the prompt is a vote for its engine, divided by the engine's load relative to
-     * the average where that exceeds one. Engines above [overload] times the average are left out. An engine is chosen
-     * when it has at least [benefit] times the votes that pieces spread evenly would give it; otherwise the hash of the
-     * first piece decides.
+     * Weighted votes: each cached piece of the prompt is a vote for its engine, divided by the engine's load relative
+     * to the average where that exceeds one. Engines above [overload] times the average are left out. An engine is
+     * chosen when it has at least [benefit] times the votes that pieces spread evenly would give it; otherwise the
+     * hash of the first piece decides.
      *
      * @property sampleBits only pieces whose hash ends with this many zero bits vote
      */
