Hold duties by leases and order engines and endpoints under them

Leases are a pure state machine over versioned objects; drivers on ObjectStore carry it out. An order to an engine is sent only while the lease outlasts the limit after which the engine closes the connection, so that a process paused between its check and its write has no effect, on engines that ignore fencing numbers too.

The fault scenario 'control' runs the drivers on virtual time.

--- a/decisions/src/main/kotlin/org/nutmegspring/invariant/Invariant.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/invariant/Invariant.kt
@@ -5,12 +5,18 @@
     /** Orders to engines. */
     NO_CONFLICTING_ORDERS("an engine accepts no conflicting orders"),
 
+    /** Leases. */
+    ONE_HOLDER("a duty has at most one holder at a time"),
+
     /** Leases and endpoints. */
     NO_EFFECT_FROM_STALE_HOLDER("an order of a process that lost its lease has no effect"),
 
     /** Ordering of endpoints. */
     ONE_ORDERER("the platform accepts orders of endpoints from one holder at a time"),
 
+    /** Ordering of endpoints. */
+    ORDERED_ONCE("a decision about endpoints is ordered at most once"),
+
     /** Usage windows. */
     ONE_FIGURE_PER_WINDOW("a usage window has one set of figures"),
 
--- /dev/null
+++ b/decisions/src/main/kotlin/org/nutmegspring/order/EngineOrderRecord.kt
@@ -0,0 +1,35 @@
+package org.nutmegspring.order
+
+import kotlinx.serialization.Serializable
+import org.nutmegspring.endpoint.EngineOrder
+import org.nutmegspring.endpoint.EngineTarget
+import org.nutmegspring.identity.EndpointId
+import org.nutmegspring.identity.FencingNumber
+import org.nutmegspring.lease.keySegment
+import org.nutmegspring.platform.ObjectKey
+
+/** What is recorded about the last order to an engine. */
+@Serializable
+enum class OrderOutcome {
+    /** The order was decided and may have been sent. */
+    INTENDED,
+
+    /** The engine reached the target. */
+    REACHED,
+}
+
+/** The last order to [engine], recorded in the store before it is sent. */
+@Serializable
+data class EngineOrderRecord(
+    val engine: EndpointId,
+    val target: EngineTarget,
+    val fencing: FencingNumber,
+    val sequence: Long,
+    val outcome: OrderOutcome,
+) {
+    /** Returns the order as it is sent to the engine. */
+    fun toOrder(): EngineOrder = EngineOrder(engine, target, fencing, sequence)
+}
+
+/** Returns the key of the record of the last order to [engine]. */
+fun orderKey(engine: EndpointId): ObjectKey = ObjectKey("orders/${keySegment(engine.value)}")
--- /dev/null
+++ b/decisions/src/test/kotlin/org/nutmegspring/lease/LeaseRulesSpec.kt
@@ -0,0 +1,135 @@
+package org.nutmegspring.lease
+
+import org.junit.jupiter.api.Nested
+import org.nutmegspring.identity.FencingNumber
+import org.nutmegspring.identity.Incarnation
+import org.nutmegspring.identity.InstanceId
+import org.nutmegspring.platform.ObjectVersion
+import org.nutmegspring.platform.WriteCondition
+import org.nutmegspring.time.MonotonicTime
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class LeaseRulesSpec {
+    private val timing = LeaseTiming(duration = 6.seconds, readEvery = 1.seconds, clockRateBound = 0.01)
+    private val rules = LeaseRules(timing)
+    private val self = LeaseHolder(InstanceId("a"), Incarnation(1))
+    private val other = LeaseHolder(InstanceId("b"), Incarnation(2))
+
+    private fun at(after: Duration): MonotonicTime = MonotonicTime.ZERO + after
+
+    private fun lease(version: Long, writer: LeaseHolder, sequence: Long, released: Boolean = false) =
+        VersionedLease(ObjectVersion(version), LeaseRecord(writer, sequence, FencingNumber(4), 6_000, released))
+
+    private fun writeAt(state: LeaseState, now: MonotonicTime): LeaseWrite =
+        assertIs<LeaseAction.Write>(rules.next(state, LeaseWish.HOLD, now)).write
+
+    @Nested
+    inner class `given a lease that another process holds` {
+        private val seen = rules.observed(LeaseState(self), lease(7, other, 1), at(10.seconds))
+
+        @Test
+        fun `waits for its duration and the clock rate margin from the first sight of the version`() {
+            val waitsUntil = 10.seconds + timing.outlasting(6.seconds)
+            val reread = rules.observed(seen, lease(7, other, 1), at(waitsUntil - 1.milliseconds))
+            assertIs<LeaseAction.Wait>(rules.next(reread, LeaseWish.HOLD, at(waitsUntil - 1.milliseconds)))
+            assertEquals(FencingNumber(5), writeAt(reread, at(waitsUntil)).record.fencing)
+        }
+
+        @Test
+        fun `counts anew when the version changed`() {
+            val renewed = rules.observed(seen, lease(8, other, 2), at(16.seconds))
+            assertIs<LeaseAction.Wait>(rules.next(renewed, LeaseWish.HOLD, at(16.5.seconds)))
+        }
+
+        @Test
+        fun `reads before it takes when its last read is old`() {
+            assertEquals(LeaseAction.Read, rules.next(seen, LeaseWish.HOLD, at(60.seconds)))
+        }
+
+        @Test
+        fun `leaves the object alone when it wants nothing of it`() {
+            assertIs<LeaseAction.Wait>(rules.next(seen, LeaseWish.NONE, at(60.seconds)))
+        }
+    }
+
+    @Nested
+    inner class `given a write whose reply was lost` {
+        private val empty = rules.observed(LeaseState(self), null, at(1.seconds))
+        private val write = writeAt(empty, at(1.5.seconds))
+        private val unanswered = rules.unanswered(rules.sending(empty, write))
+
+        @Test
+        fun `does not hold the lease before it has read the object`() {
+            assertNull(unanswered.held)
+            assertEquals(LeaseAction.Read, rules.next(unanswered, LeaseWish.HOLD, at(3.seconds)))
+        }
+
+        @Test
+        fun `recognises its write and counts from before it was sent`() {
+            val found = rules.observed(unanswered, VersionedLease(ObjectVersion(3), write.record), at(4.seconds))
+            assertEquals(at(1.5.seconds) + 6.seconds, found.held?.validUntil)
+        }
+
+        @Test
+        fun `recognises a late effect that a second write met`() {
+            val reread = rules.observed(unanswered, null, at(3.seconds))
+            val second = writeAt(reread, at(3.seconds))
+            val sent = rules.sending(reread, second)
+            val conflicted = rules.observed(sent, VersionedLease(ObjectVersion(3), write.record), at(3.1.seconds))
+            assertEquals(at(1.5.seconds) + 6.seconds, conflicted.held?.validUntil)
+            assertTrue(conflicted.unresolved.isEmpty())
+        }
+
+        @Test
+        fun `does not take the write of a former process of the same instance for its own`() {
+            val former = LeaseHolder(self.instance, Incarnation(9))
+            val found = rules.observed(unanswered, lease(3, former, write.record.sequence), at(4.seconds))
+            assertNull(found.held)
+        }
+    }
+
+    @Nested
+    inner class `given a held lease` {
+        private val empty = rules.observed(LeaseState(self), null, at(1.seconds))
+        private val write = writeAt(empty, at(1.seconds))
+        private val held =
+            rules.observed(rules.sending(empty, write), VersionedLease(ObjectVersion(3), write.record), at(2.seconds))
+
+        @Test
+        fun `renews it with the same fencing number at the seen version`() {
+            val renewal = writeAt(held, at(3.seconds))
+            assertEquals(write.record.fencing, renewal.record.fencing)
+            assertEquals(WriteCondition.AtVersion(ObjectVersion(3)), renewal.condition)
+        }
+
+        @Test
+        fun `stops holding it before the release is sent`() {
+            val release = assertIs<LeaseAction.Write>(rules.next(held, LeaseWish.NONE, at(2.seconds))).write
+            assertTrue(release.record.released)
+            assertNull(rules.sending(held, release).held)
+        }
+
+        @Test
+        fun `loses it when another process has written the object`() {
+            assertNull(rules.observed(held, lease(9, other, 1), at(3.seconds)).held)
+        }
+    }
+
+    @Nested
+    inner class `given a released lease` {
+        private val released = rules.observed(LeaseState(self), lease(7, other, 5, released = true), at(1.seconds))
+
+        @Test
+        fun `takes it at once as the preferred process and later as a standby`() {
+            assertEquals(FencingNumber(5), writeAt(released, at(1.seconds)).record.fencing)
+            assertIs<LeaseAction.Wait>(rules.next(released, LeaseWish.STAND_BY, at(1.seconds)))
+        }
+    }
+}
--- a/measure/src/main/kotlin/org/nutmegspring/measure/fault/FaultScenarioProvider.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/fault/FaultScenarioProvider.kt
@@ -1,7 +1,11 @@
 package org.nutmegspring.measure.fault
 
+import org.nutmegspring.measure.lease.ControlScenario
+
 /** Lists the randomised runs. */
 class FaultScenarioProvider {
     /** All randomised runs. */
-    val scenarios: List<FaultScenario> = listOf()
+    val scenarios: List<FaultScenario> = listOf(
+        ControlScenario(),
+    )
 }
--- /dev/null
+++ b/node/src/main/kotlin/org/nutmegspring/node/control/StoredValues.kt
@@ -0,0 +1,55 @@
+package org.nutmegspring.node.control
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.nutmegspring.failure.Effect
+import org.nutmegspring.failure.Failure
+import org.nutmegspring.failure.Peer
+import org.nutmegspring.failure.Step
+import org.nutmegspring.platform.ObjectKey
+import org.nutmegspring.platform.ObjectStore
+import org.nutmegspring.platform.ObjectVersion
+import org.nutmegspring.platform.StoreFailure
+import org.nutmegspring.platform.VersionedObject
+import org.nutmegspring.platform.WriteCondition
+
+/** A value of the store with its version. */
+internal data class StoredValue<out T>(
+    val version: ObjectVersion,
+    val value: T,
+)
+
+/** Reads and writes values of one type as JSON objects of the platform's store. */
+internal class StoredValues<T : Any>(
+    private val store: ObjectStore,
+    private val serializer: KSerializer<T>,
+) {
+    /** Returns the value at [key], or null when there is none. */
+    suspend fun read(key: ObjectKey): Either<StoreFailure, StoredValue<T>?> =
+        store.read(key).flatMap { found -> found?.let(::decode) ?: null.right() }
+
+    /** Writes [value] at [key] when [condition] holds. */
+    suspend fun write(key: ObjectKey, value: T, condition: WriteCondition): Either<StoreFailure, ObjectVersion> =
+        store.write(key, json.encodeToString(serializer, value), condition)
+
+    /** Returns the value of [found], or a failure when it is not of this type. */
+    fun decode(found: VersionedObject): Either<StoreFailure, StoredValue<T>> = try {
+        StoredValue(found.version, json.decodeFromString(serializer, found.value)).right()
+    } catch (exception: SerializationException) {
+        val message = "object ${found.key} is unreadable: ${exception.message}"
+        StoreFailure.Refused(Failure(Step.READ_OBJECT, Peer.PLATFORM, Effect.NOT_RUN, message)).left()
+    }
+
+    private companion object {
+        val json = Json { ignoreUnknownKeys = true }
+    }
+}
+
+/** Returns the condition under which a write replaces this value, or creates it when it is null. */
+internal fun StoredValue<*>?.asCondition(): WriteCondition =
+    if (this == null) WriteCondition.Absent else WriteCondition.AtVersion(version)
