Serve a request from end to end

Cause: nothing served a request yet. A caller's streamed or whole completion now goes through an entry instance to an engine stand-in and back; plain services, the platform stand-in, settings with checks, metrics, traces, logs and the command line stand beside it, thin. Conclusion: the other concerns can replace the thin parts behind their interfaces.

--- a/command-line/src/main/kotlin/org/nutmegspring/commandline/Main.kt
+++ b/command-line/src/main/kotlin/org/nutmegspring/commandline/Main.kt
@@ -1,6 +1,8 @@
 package org.nutmegspring.commandline
 
-/** Runs the command line. */
-public fun main() {
-    println("nutmegspring")
+import kotlin.system.exitProcess
+
+/** Runs the command line and ends the process with its exit code. */
+fun main(arguments: Array<String>) {
+    exitProcess(CommandLine(System.out, System.err).run(arguments.toList()).code)
 }
--- /dev/null
+++ b/command-line/src/main/kotlin/org/nutmegspring/commandline/ServeCommand.kt
@@ -0,0 +1,36 @@
+package org.nutmegspring.commandline
+
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.required
+import org.nutmegspring.node.instance.startInstance
+import org.nutmegspring.node.observe.configureLogs
+import org.nutmegspring.node.settings.SettingsLoader
+import java.io.File
+import java.net.BindException
+
+/** Runs an instance until it is told to stop. */
+@OptIn(ExperimentalCli::class)
+class ServeCommand(private val context: CommandContext) : Subcommand("serve", "Runs an instance") {
+    private val settings by option(ArgType.String, "settings", "s", "Settings file in YAML").required()
+
+    override fun execute() = SettingsLoader().load(File(settings)).fold(
+        { problems -> problems.forEach { context.fail(it.toString(), ExitCode.USAGE) } },
+        { loaded ->
+            configureLogs(loaded.logs)
+            try {
+                val instance = startInstance(loaded)
+                waitForStop { instance.close() }
+            } catch (taken: BindException) {
+                context.fail("cannot listen at ${loaded.callers.address}: ${taken.message}")
+            }
+        },
+    )
+}
+
+/** Blocks until the process is told to end, and then runs [stop] before it does. */
+internal fun waitForStop(stop: () -> Unit) {
+    Runtime.getRuntime().addShutdownHook(Thread(stop))
+    Thread.currentThread().join()
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/nutmegspring/node/engine/EndpointHttp.kt
@@ -0,0 +1,39 @@
+package org.nutmegspring.node.engine
+
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.engine.cio.endpoint
+import io.ktor.client.plugins.HttpTimeout
+import io.ktor.client.request.HttpRequestBuilder
+import io.opentelemetry.context.Context
+import org.nutmegspring.node.observe.Telemetry
+import org.nutmegspring.node.settings.EndpointSettings
+
+private const val MAXIMUM_CONNECTIONS = 20_000
+private const val KEEP_ALIVE_MILLISECONDS = 10_000L
+
+/** Returns the HTTP client for calls of endpoints. */
+fun endpointHttpClient(settings: EndpointSettings): HttpClient = HttpClient(CIO) {
+    expectSuccess = false
+    followRedirects = false
+    engine {
+        maxConnectionsCount = MAXIMUM_CONNECTIONS
+        requestTimeout = 0
+        endpoint {
+            maxConnectionsPerRoute = MAXIMUM_CONNECTIONS
+            keepAliveTime = KEEP_ALIVE_MILLISECONDS
+            connectTimeout = settings.connectTimeoutMilliseconds
+        }
+    }
+    install(HttpTimeout) {
+        connectTimeoutMillis = settings.connectTimeoutMilliseconds
+        socketTimeoutMillis = settings.silenceTimeoutMilliseconds
+    }
+}
+
+/** Adds the trace context [context] to the headers of a request. */
+internal fun HttpRequestBuilder.propagate(telemetry: Telemetry, context: Context) {
+    telemetry.propagators.textMapPropagator.inject(context, this) { builder, name, value ->
+        builder?.headers?.set(name, value)
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/nutmegspring/node/entry/EntryServer.kt
@@ -0,0 +1,201 @@
+package org.nutmegspring.node.entry
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.Application
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.application.install
+import io.ktor.server.cio.CIO
+import io.ktor.server.engine.EngineConnectorBuilder
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.http.HttpRequestLifecycle
+import io.ktor.server.request.httpMethod
+import io.ktor.server.response.header
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.ktor.server.routing.route
+import io.ktor.server.routing.routing
+import io.micrometer.core.instrument.Timer
+import io.opentelemetry.api.trace.Span
+import io.opentelemetry.api.trace.SpanKind
+import io.opentelemetry.context.Context
+import io.opentelemetry.context.propagation.TextMapGetter
+import io.opentelemetry.extension.kotlin.asContextElement
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.nutmegspring.endpoint.EngineProtocol
+import org.nutmegspring.failure.Effect
+import org.nutmegspring.identity.RequestId
+import org.nutmegspring.identity.ServiceId
+import org.nutmegspring.node.configuration.ConfigurationView
+import org.nutmegspring.node.observe.Telemetry
+import org.nutmegspring.node.routing.EndpointChooser
+
+private val logger = KotlinLogging.logger("org.nutmegspring.node.entry")
+
+/** What the entry server serves. [extraRoutes] adds the routes of other concerns. */
+class EntryParts(
+    val completions: CompletionHandler,
+    val services: ServiceHandler,
+    val admission: Admission,
+    val configuration: ConfigurationView,
+    val chooser: EndpointChooser,
+    val telemetry: Telemetry,
+    val epochSeconds: () -> Long,
+    val extraRoutes: List<Route.() -> Unit> = emptyList(),
+)
+
+/** The HTTP server for callers and operators. */
+class EntryServer(private val parts: EntryParts) {
+    /** Starts serving at [host] and [port]; port 0 takes a free one. */
+    fun start(host: String, port: Int): RunningServer {
+        val server = embeddedServer(
+            CIO,
+            configure = {
+                connectors.add(
+                    EngineConnectorBuilder().apply {
+                        this.host = host
+                        this.port = port
+                    },
+                )
+            },
+            module = { module() },
+        )
+        server.start(wait = false)
+        val bound = runBlocking { server.engine.resolvedConnectors() }.first().port
+        return RunningServer("$host:$bound") { server.stop(0, STOP_MILLISECONDS) }
+    }
+
+    private fun Application.module() {
+        install(HttpRequestLifecycle) { cancelCallOnClose = true }
+        routing {
+            completionRoutes()
+            serviceRoutes()
+            stateRoutes()
+            parts.extraRoutes.forEach { it() }
+        }
+    }
+
+    private fun Route.completionRoutes() {
+        CompletionForm.entries.forEach { form ->
+            post(form.path) {
+                observe(call, form.path) { id -> parts.completions.serve(call, form, id) }
+            }
+        }
+        get("/v1/models") {
+            observe(call, "/v1/models") {
+                parts.admission.caller(call).fold({ call.respondError(it) }, { caller -> models(call, caller) })
+            }
+        }
+    }
+
+    private fun Route.serviceRoutes() {
+        route("/services/{service}/{path...}") {
+            handle {
+                val service = ServiceId(call.parameters["service"].orEmpty())
+                observe(call, "/services") { id -> parts.services.serve(call, service, id) }
+            }
+        }
+    }
+
+    private fun Route.stateRoutes() {
+        get("/healthz") { call.respondText("ok\n") }
+        get("/readyz") {
+            parts.configuration.currency().fold(
+                { call.respondText("${it.message}\n", status = HttpStatusCode.ServiceUnavailable) },
+                { call.respondText("ready\n") },
+            )
+        }
+        get("/metrics") {
+            call.respondText(parts.telemetry.meters.scrape(), ContentType.parse("text/plain; version=0.0.4"))
+        }
+    }
+
+    private suspend fun models(call: ApplicationCall, caller: Caller) {
+        val allowed = caller.organisation.models
+        val models = parts.chooser.models().filter { allowed.isEmpty() || it in allowed }
+        val entries = models.map { it.value }.sorted().map { ModelEntry(it) }
+        call.respondJson(ModelList.serializer(), ModelList(data = entries))
+    }
+
+    private suspend fun observe(call: ApplicationCall, route: String, serve: suspend (RequestId) -> Unit) {
+        val id = newRequestId()
+        call.response.header(EngineProtocol.REQUEST_ID_HEADER, id.value)
+        val sample = Timer.start(parts.telemetry.meters)
+        val span = startSpan(call, route, id)
+        try {
+            withContext(Context.current().with(span).asContextElement()) { serve(id) }
+        } catch (cancelled: CancellationException) {
+            span.addEvent("cancelled")
+            throw cancelled
+        } catch (unexpected: Exception) {
+            logger.error(unexpected) { "request ${id.value} failed unexpectedly" }
+            call.respondError(
+                ApiError(HttpStatusCode.InternalServerError, "internal", "internal error", Effect.UNKNOWN),
+            )
+        } finally {
+            finish(call, route, id, span, sample)
+        }
+    }
+
+    private fun startSpan(call: ApplicationCall, route: String, id: RequestId): Span {
+        val parent = parts.telemetry.propagators.textMapPropagator.extract(Context.root(), call, HeaderGetter)
+        return parts.telemetry.tracer.spanBuilder("entry").setSpanKind(SpanKind.SERVER).setParent(parent)
+            .setAttribute("route", route)
+            .setAttribute("method", call.request.httpMethod.value)
+            .setAttribute("request", id.value)
+            .startSpan()
+    }
+
+    private fun finish(call: ApplicationCall, route: String, id: RequestId, span: Span, sample: Timer.Sample) {
+        val status = call.response.status()?.value ?: CLIENT_CLOSED
+        span.setAttribute("status", status.toLong())
+        span.end()
+        val timer = Timer.builder("nutmegspring.requests").tag("route", route).tag("status", status.toString())
+        sample.stop(timer.register(parts.telemetry.meters))
+        logger.atInfo {
+            message = "request served"
+            payload = mapOf("request" to id.value, "route" to route, "status" to status)
+        }
+    }
+
+    private companion object {
+        const val STOP_MILLISECONDS = 500L
+        const val CLIENT_CLOSED = 499
+    }
+}
+
+/** A server that listens at [address] until [close] is called. */
+class RunningServer(
+    val address: String,
+    private val stop: () -> Unit,
+) : AutoCloseable {
+    override fun close() = stop()
+}
+
+/** An entry of the list of models. */
+@Serializable
+data class ModelEntry(
+    val id: String,
+    @SerialName("object") val objectType: String = "model",
+    @SerialName("owned_by") val ownedBy: String = "nutmegspring",
+)
+
+/** The list of models in the usual form. */
+@Serializable
+data class ModelList(
+    @SerialName("object") val objectType: String = "list",
+    val data: List<ModelEntry>,
+)
+
+private object HeaderGetter : TextMapGetter<ApplicationCall> {
+    override fun keys(carrier: ApplicationCall): Iterable<String> = carrier.request.headers.names()
+
+    override fun get(carrier: ApplicationCall?, key: String): String? = carrier?.request?.headers?.get(key)
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/nutmegspring/node/entry/ServiceHandler.kt
@@ -0,0 +1,119 @@
+package org.nutmegspring.node.entry
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.httpMethod
+import io.ktor.server.request.path
+import io.ktor.server.request.queryString
+import io.ktor.server.response.header
+import io.ktor.server.response.respondBytes
+import org.nutmegspring.configuration.Service
+import org.nutmegspring.identity.RequestId
+import org.nutmegspring.identity.ServiceId
+import org.nutmegspring.identity.TokenCount
+import org.nutmegspring.node.configuration.ConfigurationView
+import org.nutmegspring.node.engine.Header
+import org.nutmegspring.node.engine.ServiceAnswer
+import org.nutmegspring.node.engine.ServiceRequest
+import org.nutmegspring.node.execution.ServiceExecution
+import org.nutmegspring.node.limits.RateLimiter
+import org.nutmegspring.node.routing.Work
+
+/** What the entry needs to serve calls of plain services. */
+class ServiceParts(
+    val admission: Admission,
+    val configuration: ConfigurationView,
+    val limiter: RateLimiter,
+    val execution: ServiceExecution,
+)
+
+/** Serves `/services/{service}/…`. */
+class ServiceHandler(private val parts: ServiceParts) {
+    /** Serves [call], whose id is [id], for the service [serviceId]. */
+    suspend fun serve(call: ApplicationCall, serviceId: ServiceId, id: RequestId) {
+        run(call, serviceId, id).getOrElse { return call.respondError(it) }.let { respond(call, it) }
+    }
+
+    private suspend fun run(
+        call: ApplicationCall,
+        serviceId: ServiceId,
+        id: RequestId,
+    ): Either<ApiError, ServiceAnswer> =
+        either {
+            parts.configuration.currency().mapLeft(::apiErrorOf).bind()
+            val service = parts.configuration.configuration.value.services[serviceId]
+            ensure(service != null) { notFound(serviceId) }
+            val caller = if (service.openToAll) null else parts.admission.caller(call).bind()
+            val request = request(call, serviceId, id).bind()
+            val work = Work.ServiceCall(caller?.organisation?.id, serviceId, repeatable(service, request))
+            val charge = caller?.let {
+                parts.limiter.charge(it.organisation.id, TokenCount(service.tokensPerCall)).mapLeft(::apiErrorOf).bind()
+            }
+            val outcome = parts.execution.run(work, request)
+            charge?.settle(TokenCount(if (outcome.isRight()) service.tokensPerCall else 0))
+            outcome.mapLeft(::apiErrorOf).bind()
+        }
+
+    private suspend fun request(
+        call: ApplicationCall,
+        service: ServiceId,
+        id: RequestId,
+    ): Either<ApiError, ServiceRequest> = parts.admission.body(call).map { body ->
+        val path = call.request.path().removePrefix("/services/${service.value}").ifEmpty { "/" }
+        val query = call.request.queryString().let { if (it.isEmpty()) "" else "?$it" }
+        val headers = call.request.headers.entries()
+            .filter { (name, _) -> name.lowercase() !in HIDDEN_REQUEST_HEADERS }
+            .flatMap { (name, values) -> values.map { Header(name, it) } }
+        ServiceRequest(id, call.request.httpMethod.value, path + query, headers, body)
+    }
+
+    private fun repeatable(service: Service, request: ServiceRequest): Boolean = service.notRepeatable.none {
+        it.method.equals(request.method, ignoreCase = true) && request.path.startsWith(it.pathPrefix)
+    }
+
+    private suspend fun respond(call: ApplicationCall, answer: ServiceAnswer) {
+        val contentType = answer.headers.find { it.name.equals(HttpHeaders.ContentType, ignoreCase = true) }
+        answer.headers.filter { it.name.lowercase() !in HIDDEN_ANSWER_HEADERS }
+            .forEach { call.response.header(it.name, it.value) }
+        val type = contentType?.let { ContentType.parse(it.value) }
+        call.respondBytes(answer.body, type, HttpStatusCode.fromValue(answer.status))
+    }
+
+    private fun notFound(service: ServiceId) =
+        ApiError(HttpStatusCode.NotFound, "service_not_found", "the service '$service' does not exist")
+
+    private companion object {
+        val HIDDEN_REQUEST_HEADERS = setOf(
+            "authorization",
+            "host",
+            "connection",
+            "keep-alive",
+            "transfer-encoding",
+            "content-length",
+            "upgrade",
+            "te",
+            "trailer",
+            "proxy-authorization",
+            "expect",
+            "x-request-id",
+            "traceparent",
+            "tracestate",
+        )
+        val HIDDEN_ANSWER_HEADERS = setOf(
+            "connection",
+            "keep-alive",
+            "transfer-encoding",
+            "content-length",
+            "content-type",
+            "x-request-id",
+            "upgrade",
+            "trailer",
+        )
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/nutmegspring/node/observe/Telemetry.kt
@@ -0,0 +1,57 @@
+package org.nutmegspring.node.observe
+
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import io.opentelemetry.api.common.Attributes
+import io.opentelemetry.api.trace.Tracer
+import io.opentelemetry.api.trace.propagation.W3CTraceContextPropagator
+import io.opentelemetry.context.propagation.ContextPropagators
+import io.opentelemetry.exporter.logging.LoggingSpanExporter
+import io.opentelemetry.exporter.otlp.trace.OtlpGrpcSpanExporter
+import io.opentelemetry.sdk.OpenTelemetrySdk
+import io.opentelemetry.sdk.resources.Resource
+import io.opentelemetry.sdk.trace.SdkTracerProvider
+import io.opentelemetry.sdk.trace.export.BatchSpanProcessor
+import io.opentelemetry.sdk.trace.export.SimpleSpanProcessor
+import org.nutmegspring.identity.InstanceId
+import org.nutmegspring.node.settings.TraceExporter
+import org.nutmegspring.node.settings.TraceSettings
+
+/** The metrics and traces of one instance. */
+class Telemetry internal constructor(
+    /** The metrics. */
+    val meters: PrometheusMeterRegistry,
+    private val openTelemetry: OpenTelemetrySdk,
+) : AutoCloseable {
+    /** Starts spans. */
+    val tracer: Tracer = openTelemetry.getTracer("nutmegspring")
+
+    /** Carries trace contexts in headers. */
+    val propagators: ContextPropagators = openTelemetry.propagators
+
+    override fun close() {
+        openTelemetry.close()
+        meters.close()
+    }
+}
+
+/** Returns the telemetry of [instance]. */
+fun telemetry(instance: InstanceId, traces: TraceSettings): Telemetry {
+    val provider = SdkTracerProvider.builder()
+        .setResource(Resource.getDefault().merge(Resource.create(attributes(instance))))
+    when (traces.exporter) {
+        TraceExporter.NONE -> Unit
+        TraceExporter.LOG -> provider.addSpanProcessor(SimpleSpanProcessor.create(LoggingSpanExporter.create()))
+        TraceExporter.OTLP -> provider.addSpanProcessor(BatchSpanProcessor.builder(otlp(traces.address)).build())
+    }
+    val openTelemetry = OpenTelemetrySdk.builder()
+        .setTracerProvider(provider.build())
+        .setPropagators(ContextPropagators.create(W3CTraceContextPropagator.getInstance()))
+        .build()
+    return Telemetry(PrometheusMeterRegistry(PrometheusConfig.DEFAULT), openTelemetry)
+}
+
+private fun otlp(address: String) = OtlpGrpcSpanExporter.builder().setEndpoint(address).build()
+
+private fun attributes(instance: InstanceId): Attributes =
+    Attributes.builder().put("service.name", "nutmegspring").put("service.instance.id", instance.value).build()
--- a/node/src/main/kotlin/org/nutmegspring/node/routing/EndpointChooser.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/routing/EndpointChooser.kt
@@ -55,6 +55,9 @@
 
 /** Chooses endpoints. */
 interface EndpointChooser {
+    /** Returns the models that some live engine serves. */
+    fun models(): Set<ModelId>
+
     /** Chooses an endpoint for [work] that is not in [exclude]; waits in the admission queue when all are busy. */
     suspend fun choose(work: Work, exclude: Set<EndpointId>): Either<Failure, ChosenEndpoint>
 }
--- /dev/null
+++ b/node/src/main/kotlin/org/nutmegspring/node/settings/SettingsProblem.kt
@@ -0,0 +1,16 @@
+package org.nutmegspring.node.settings
+
+/**
+ * Something that is wrong in a settings file.
+ *
+ * @property line the line in the file, counted from 1, or null when the problem has none
+ * @property name the setting's path, for example `callers.address`
+ */
+data class SettingsProblem(
+    val file: String,
+    val line: Int?,
+    val name: String,
+    val message: String,
+) {
+    override fun toString(): String = listOfNotNull(file, line?.toString()).joinToString(":") + ": $name: $message"
+}
