Keep one chain of configuration revisions and the evidence that it is current

Cause: an instance has to know whether its configuration is current while the store may be down for long, and an accepted change must neither be lost nor stay unnoticed by an instance that admits requests. Changes are appended by a conditional write of a small head, accepted when a quorum of the listed instances holds them, and an instance admits only with evidence younger than 4 s: a read of the head, a current peer, or a quorum of peers. The scenario `configuration` runs this code, coroutines included, on virtual time under faults of the store, the network and the instances.

--- a/decisions/src/main/kotlin/org/nutmegspring/invariant/Invariant.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/invariant/Invariant.kt
@@ -47,6 +47,12 @@
     /** Configuration. */
     MONOTONIC_REVISION("an instance never applies a lower revision"),
 
+    /** Configuration. */
+    ACCEPTED_CHANGE_STAYS("an accepted change is applied wherever requests are admitted after the bound"),
+
+    /** Configuration. */
+    NO_LOST_UPDATE("a change based on an outdated reading is refused"),
+
     /** Keys. */
     REVOKED_KEY_STOPS("a revoked key admits nothing after the bound"),
 
--- a/measure/src/main/kotlin/org/nutmegspring/measure/fault/FaultScenarioProvider.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/fault/FaultScenarioProvider.kt
@@ -1,5 +1,6 @@
 package org.nutmegspring.measure.fault
 
+import org.nutmegspring.measure.configuration.ConfigurationScenario
 import org.nutmegspring.measure.lease.ControlScenario
 
 /** Lists the randomised runs. */
@@ -7,5 +8,6 @@
     /** All randomised runs. */
     val scenarios: List<FaultScenario> = listOf(
         ControlScenario(),
+        ConfigurationScenario(),
     )
 }
--- a/node/src/main/kotlin/org/nutmegspring/node/configuration/PolledConfigurationView.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/configuration/PolledConfigurationView.kt
@@ -17,11 +17,8 @@
 import org.nutmegspring.failure.Failure
 import org.nutmegspring.failure.Peer
 import org.nutmegspring.failure.Step
-import org.nutmegspring.identity.KeyHash
 import org.nutmegspring.platform.ObjectKey
 import org.nutmegspring.platform.ObjectStore
-import java.security.MessageDigest
-import java.util.HexFormat
 import kotlin.time.Duration.Companion.seconds
 
 /** The key of the object that holds the whole configuration. */
@@ -74,9 +71,3 @@
         val INTERVAL = 1.seconds
     }
 }
-
-/** Returns the SHA-256 digest of [secret]. */
-fun hashOf(secret: String): KeyHash {
-    val digest = MessageDigest.getInstance("SHA-256").digest(secret.toByteArray())
-    return KeyHash(HexFormat.of().formatHex(digest))
-}
--- a/node/src/main/kotlin/org/nutmegspring/node/membership/HeartbeatMembership.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/membership/HeartbeatMembership.kt
@@ -98,6 +98,10 @@
     @Volatile
     var phase: InstancePhase = InstancePhase.JOINING
 
+    @Volatile
+    override var listRead: Boolean = false
+        private set
+
     override val self: MemberState
         get() = MemberState(
             id = description.id,
@@ -162,7 +166,10 @@
     private suspend fun refreshList() {
         lists.instances().fold(
             { logger.debug { "the list of instances could not be read: $it" } },
-            { instances -> synchronized(lock) { table.list(instances, clock.now()) } },
+            { instances ->
+                synchronized(lock) { table.list(instances, clock.now()) }
+                listRead = true
+            },
         )
     }
 
--- a/node/src/main/kotlin/org/nutmegspring/node/membership/Membership.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/membership/Membership.kt
@@ -20,6 +20,9 @@
     /** The ids that the platform last listed, this instance's included. */
     fun listed(): Set<InstanceId>
 
+    /** Whether the platform's list has been read since this process started. */
+    val listRead: Boolean
+
     /** The endpoints that this or another instance has found to be departing. */
     fun departingEndpoints(): Set<EndpointId> = emptySet()
 
