--- /dev/null
+++ b/decisions/src/test/kotlin/org/nutmegspring/execution/TicketSpec.kt
@@ -0,0 +1,62 @@
+package org.nutmegspring.execution
+
+import org.junit.jupiter.api.Nested
+import org.nutmegspring.identity.IdempotencyKey
+import org.nutmegspring.identity.Incarnation
+import org.nutmegspring.identity.InstanceId
+import org.nutmegspring.identity.OrganisationId
+import org.nutmegspring.time.MonotonicTime
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+class TicketSpec {
+    private val theatre = OrganisationId("theatre")
+    private val instance = InstanceId("i.1 é")
+    private val now = MonotonicTime.ZERO + 90.seconds
+    private val issuer = issuer(Incarnation(-7), secret = 1)
+    private val ticket = issuer.issue(theatre, random = -12345, now)
+
+    private fun issuer(incarnation: Incarnation, secret: Byte) =
+        TicketIssuer(instance, incarnation, ByteArray(32) { secret }, lifetime = 10.minutes)
+
+    @Nested
+    inner class `given an issued ticket` {
+        @Test
+        fun `its key is parsed to the same ticket`() {
+            assertEquals(ticket, parseTicket(ticket.key))
+        }
+
+        @Test
+        fun `it is accepted for its organisation until it expires`() {
+            assertTrue(issuer.issued(ticket, theatre))
+            assertEquals(9.minutes, issuer.remaining(ticket, now + 1.minutes))
+        }
+
+        @Test
+        fun `it is not accepted for another organisation or with another expiry`() {
+            assertFalse(issuer.issued(ticket, OrganisationId("festival")))
+            assertFalse(issuer.issued(ticket.copy(expiresAt = ticket.expiresAt + 1), theatre))
+        }
+
+        @Test
+        fun `a later process of the same instance does not take it for its own`() {
+            assertFalse(issuer(Incarnation(8), secret = 1).names(ticket))
+            assertFalse(issuer(Incarnation(-7), secret = 2).issued(ticket, theatre))
+        }
+    }
+
+    @Nested
+    inner class `given another key` {
+        @Test
+        fun `a key of the caller's own making is no ticket`() {
+            listOf("order-17", "ticket.a.b", "ticket.!.1.1.1.x", "ticket.aQ.zz~.1.1.x").forEach {
+                assertNull(parseTicket(IdempotencyKey(it)), it)
+            }
+        }
+    }
+}
