Share rate limits over instances by slots and grants

Each limit is divided into slots that are held for the life of a process, and tokens move between instances by grants that stay reserved at their holder.

--- /dev/null
+++ b/decisions/src/main/kotlin/org/nutmegspring/limits/HolderEstimates.kt
@@ -0,0 +1,82 @@
+package org.nutmegspring.limits
+
+import org.nutmegspring.identity.InstanceId
+import org.nutmegspring.time.MonotonicTime
+import kotlin.time.DurationUnit
+
+/** Tokens to ask of [holder]. */
+internal data class PlannedAsk(val holder: InstanceId, val tokens: Long)
+
+/** Estimates, from what they last said, how many tokens the other holders of an organisation's slots have. */
+internal class HolderEstimates(private val settings: LimitSettings, private val self: InstanceId) {
+    private var slotsOf: Map<InstanceId, Int> = emptyMap()
+    private val levels = HashMap<InstanceId, Level>()
+
+    /** The other holders, with the number of their slots. */
+    val holders: Map<InstanceId, Int> get() = slotsOf
+
+    /** Sets how many slots each instance holds. */
+    fun assign(slots: Map<InstanceId, Int>) {
+        slotsOf = slots - self
+        levels.keys.retainAll(slotsOf.keys)
+    }
+
+    /** Notes that [holder] has [tokens] left. */
+    fun told(holder: InstanceId, tokens: Long, now: MonotonicTime) {
+        if (holder in slotsOf) levels[holder] = Level(tokens, now)
+    }
+
+    /** Notes that [holder] did not answer. */
+    fun unreachable(holder: InstanceId, now: MonotonicTime): Unit = told(holder, 0, now)
+
+    /** Returns the sum of the estimates. */
+    fun total(slot: BucketRate, now: MonotonicTime): Long = slotsOf.keys.sumOf { estimate(it, slot, now) }
+
+    /**
+     * Returns from whom to ask [needed] tokens, or an empty list when the holders are known to have less.
+     *
+     * The holders with the greatest estimates are asked. When the estimates do not suffice, those that are older than
+     * the settings allow are not believed, and their holders are asked nonetheless.
+     */
+    fun plan(needed: Long, slot: BucketRate, now: MonotonicTime): List<PlannedAsk> {
+        val estimates = slotsOf.keys.associateWith { estimate(it, slot, now) }
+        if (estimates.values.sum() >= needed) return cover(needed, estimates)
+        val doubtful = slotsOf.keys.filter { isDoubtful(it, now) }
+        if (doubtful.isEmpty()) return emptyList()
+        val known = estimates.filterKeys { it !in doubtful }.values.sum()
+        val share = (needed - known).coerceAtLeast(0).ceilingDivide(doubtful.size)
+        return estimates.map { (holder, estimate) ->
+            PlannedAsk(holder, if (holder in doubtful) maxOf(share, estimate) else estimate)
+        }.filter { it.tokens > 0 }
+    }
+
+    private fun cover(needed: Long, estimates: Map<InstanceId, Long>): List<PlannedAsk> {
+        var missing = needed
+        val fullestFirst = estimates.entries.sortedWith(
+            compareByDescending<Map.Entry<InstanceId, Long>> { it.value }.thenBy { preference(it.key) },
+        )
+        return fullestFirst.mapNotNull { (holder, estimate) ->
+            val tokens = minOf(missing, estimate)
+            missing -= tokens
+            if (tokens > 0) PlannedAsk(holder, tokens) else null
+        }
+    }
+
+    private fun estimate(holder: InstanceId, slot: BucketRate, now: MonotonicTime): Long {
+        val slots = slotsOf[holder] ?: return 0
+        val level = levels[holder] ?: return (slot.capacity * slots).toLong()
+        val minted = slot.tokensPerSecond * slots * (now - level.at).toDouble(DurationUnit.SECONDS)
+        return minOf(level.tokens + minted, slot.capacity * slots).toLong()
+    }
+
+    private fun isDoubtful(holder: InstanceId, now: MonotonicTime): Boolean {
+        val level = levels[holder] ?: return true
+        return now - level.at > settings.estimateLifetime
+    }
+
+    private fun preference(holder: InstanceId): Int = (self.value + holder.value).hashCode()
+
+    private class Level(val tokens: Long, val at: MonotonicTime)
+}
+
+private fun Long.ceilingDivide(divisor: Int): Long = (this + divisor - 1) / divisor
--- a/measure/src/main/kotlin/org/nutmegspring/measure/fault/FaultScenarioProvider.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/fault/FaultScenarioProvider.kt
@@ -2,6 +2,7 @@
 
 import org.nutmegspring.measure.configuration.ConfigurationScenario
 import org.nutmegspring.measure.lease.ControlScenario
+import org.nutmegspring.measure.limits.LimitScenario
 
 /** Lists the randomised runs. */
 class FaultScenarioProvider {
@@ -9,5 +10,6 @@
     val scenarios: List<FaultScenario> = listOf(
         ControlScenario(),
         ConfigurationScenario(),
+        LimitScenario(),
     )
 }
