Run work that is not repeatable at most once, and resume streams

Calls with an idempotency key of the caller's own are claimed in the store before they are sent; calls with a ticket run only in the process that issued it, which needs no store. Repeats join the run, ask its claimant or read its stored outcome. Streams go on at another engine after the last delivered token.

--- a/measure/src/main/kotlin/org/nutmegspring/measure/MeasureProvider.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/MeasureProvider.kt
@@ -1,5 +1,6 @@
 package org.nutmegspring.measure
 
+import org.nutmegspring.measure.confirmations.ConfirmationsMeasure
 import org.nutmegspring.measure.routing.RoutingMeasure
 
 /** Lists the measures. */
@@ -7,6 +8,7 @@
     /** All measures in the order in which the help text lists them. */
     val measures: List<Measure> = listOf(
         RoutingMeasure(),
+        ConfirmationsMeasure(),
     )
 
     /** Returns the measure called [name], or null when there is none. */
--- a/measure/src/main/kotlin/org/nutmegspring/measure/fault/FaultScenarioProvider.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/fault/FaultScenarioProvider.kt
@@ -1,6 +1,7 @@
 package org.nutmegspring.measure.fault
 
 import org.nutmegspring.measure.configuration.ConfigurationScenario
+import org.nutmegspring.measure.confirmations.ExecutionScenario
 import org.nutmegspring.measure.lease.ControlScenario
 import org.nutmegspring.measure.limits.LimitScenario
 
@@ -11,5 +12,6 @@
         ControlScenario(),
         ConfigurationScenario(),
         LimitScenario(),
+        ExecutionScenario(),
     )
 }
--- a/node/src/main/kotlin/org/nutmegspring/node/engine/EngineClient.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/engine/EngineClient.kt
@@ -38,13 +38,8 @@
 class EngineClient(
     private val client: HttpClient,
     private val telemetry: Telemetry,
-) {
-    /**
-     * Runs [generation] at [endpoint] and passes its tokens to [sink], beginning after [alreadySent] tokens.
-     *
-     * An answer that carries the id of another request is not passed on.
-     */
-    suspend fun generate(
+) : EngineCaller {
+    override suspend fun generate(
         endpoint: EndpointDescription,
         generation: Generation,
         alreadySent: Long,
--- a/node/src/main/kotlin/org/nutmegspring/node/engine/ServiceClient.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/engine/ServiceClient.kt
@@ -18,6 +18,7 @@
 import kotlinx.io.readByteArray
 import org.nutmegspring.endpoint.EndpointDescription
 import org.nutmegspring.endpoint.EngineProtocol
+import org.nutmegspring.execution.isOwnAnswer
 import org.nutmegspring.failure.Effect
 import org.nutmegspring.failure.Failure
 import org.nutmegspring.failure.Peer
@@ -54,9 +55,8 @@
     private val client: HttpClient,
     private val telemetry: Telemetry,
     private val maximumAnswerBytes: Long,
-) {
-    /** Sends [request] to [endpoint] once and returns its whole answer. */
-    suspend fun call(endpoint: EndpointDescription, request: ServiceRequest): Either<Failure, ServiceAnswer> {
+) : ServiceCaller {
+    override suspend fun call(endpoint: EndpointDescription, request: ServiceRequest): Either<Failure, ServiceAnswer> {
         val span = telemetry.tracer.spanBuilder("service").setSpanKind(SpanKind.CLIENT)
             .setAttribute("endpoint", endpoint.id.value)
             .setAttribute("request", request.id.value)
@@ -94,7 +94,7 @@
 
     private suspend fun read(response: HttpResponse, id: RequestId, peer: Peer): Either<Failure, ServiceAnswer> {
         val answered = response.headers[EngineProtocol.REQUEST_ID_HEADER]
-        if (answered != null && answered != id.value) {
+        if (!isOwnAnswer(id, answered)) {
             return Failure(Step.READ_ANSWER, peer, Effect.UNKNOWN, "answer to another request").left()
         }
         val body = response.bodyAsChannel().readRemaining(maximumAnswerBytes + 1).readByteArray()
--- a/node/src/main/kotlin/org/nutmegspring/node/entry/ApiError.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/entry/ApiError.kt
@@ -65,15 +65,31 @@
         Step.CHARGE -> if (failure.retryAfter == null) "exceeds_burst" else "rate_limit_exceeded"
         Step.CONFIGURE -> "instance_not_current"
         Step.CHOOSE_ENDPOINT -> "no_capacity"
+        Step.CLAIM -> claimCodeOf(failure)
         else -> if (failure.effect == Effect.NOT_RUN) "endpoint_unavailable" else "outcome_unknown"
     }
     return ApiError(status, code, failure.message, failure.effect, retryAfter = failure.retryAfter)
 }
 
+private fun claimCodeOf(failure: Failure): String {
+    val mayRetry = failure.retryAfter != null
+    return when (failure.effect) {
+        Effect.NOT_RUN -> if (mayRetry) "claim_unavailable" else "idempotency_key_rejected"
+        Effect.UNKNOWN -> if (mayRetry) "request_in_progress" else "outcome_unknown"
+    }
+}
+
+private fun claimStatusOf(failure: Failure): HttpStatusCode = when {
+    failure.effect == Effect.UNKNOWN -> HttpStatusCode.Conflict
+    failure.retryAfter != null -> HttpStatusCode.ServiceUnavailable
+    else -> HttpStatusCode.UnprocessableEntity
+}
+
 private fun statusOf(failure: Failure): HttpStatusCode = when (failure.step) {
     Step.READ_REQUEST -> HttpStatusCode.BadRequest
     Step.AUTHENTICATE -> HttpStatusCode.Unauthorized
     Step.CHARGE -> if (failure.retryAfter == null) HttpStatusCode.BadRequest else HttpStatusCode.TooManyRequests
     Step.CONFIGURE, Step.CHOOSE_ENDPOINT -> HttpStatusCode.ServiceUnavailable
+    Step.CLAIM -> claimStatusOf(failure)
     else -> if (failure.effect == Effect.NOT_RUN) HttpStatusCode.ServiceUnavailable else HttpStatusCode.BadGateway
 }
--- a/node/src/main/kotlin/org/nutmegspring/node/entry/ServiceHandler.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/entry/ServiceHandler.kt
@@ -14,6 +14,7 @@
 import io.ktor.server.response.header
 import io.ktor.server.response.respondBytes
 import org.nutmegspring.configuration.Service
+import org.nutmegspring.identity.IdempotencyKey
 import org.nutmegspring.identity.RequestId
 import org.nutmegspring.identity.ServiceId
 import org.nutmegspring.identity.TokenCount
@@ -55,9 +56,10 @@
             val charge = caller?.let {
                 parts.limiter.charge(it.organisation.id, TokenCount(service.tokensPerCall)).mapLeft(::apiErrorOf).bind()
             }
-            val outcome = parts.execution.run(work, request)
-            charge?.settle(TokenCount(if (outcome.isRight()) service.tokensPerCall else 0))
-            outcome.mapLeft(::apiErrorOf).bind()
+            val key = call.request.headers[IDEMPOTENCY_KEY_HEADER]?.let(::IdempotencyKey)
+            val outcome = parts.execution.run(work, request, key)
+            charge?.settle(TokenCount(if (outcome.isRight { it.executed }) service.tokensPerCall else 0))
+            outcome.mapLeft(::apiErrorOf).bind().answer
         }
 
     private suspend fun request(
@@ -89,6 +91,7 @@
         ApiError(HttpStatusCode.NotFound, "service_not_found", "the service '$service' does not exist")
 
     private companion object {
+        const val IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
         val HIDDEN_REQUEST_HEADERS = setOf(
             "authorization",
             "host",
--- /dev/null
+++ b/node/src/main/kotlin/org/nutmegspring/node/execution/ClaimedExecution.kt
@@ -0,0 +1,160 @@
+package org.nutmegspring.node.execution
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.nutmegspring.execution.ClaimOutcome
+import org.nutmegspring.execution.ClaimRecord
+import org.nutmegspring.execution.ClaimState
+import org.nutmegspring.execution.Claimant
+import org.nutmegspring.execution.decodeClaim
+import org.nutmegspring.failure.Effect
+import org.nutmegspring.failure.Peer
+import org.nutmegspring.identity.Incarnation
+import org.nutmegspring.identity.InstanceId
+import org.nutmegspring.node.engine.ServiceAnswer
+import org.nutmegspring.platform.ObjectVersion
+import org.nutmegspring.platform.WriteCondition
+import org.nutmegspring.protocol.ClaimStatus
+import org.nutmegspring.time.MonotonicClock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * The bounds of claimed runs.
+ *
+ * @property sendWithin a claimed request is not sent when this much time has passed since its claim was begun
+ * @property keptAnswerBytes the longest answer that is kept in the store
+ */
+data class ClaimBounds(
+    val sendWithin: Duration = 30.seconds,
+    val keptAnswerBytes: Int = KEPT_ANSWER_BYTES,
+)
+
+private const val KEPT_ANSWER_BYTES = 64 * 1024
+
+/**
+ * Runs calls that carry an idempotency key of the caller's own making.
+ *
+ * A record in the store, created before anything is sent, decides which attempt may run the call. No attempt ever takes
+ * a claim from another that may have sent it: a claim passes on only when its claimant says that it sent nothing and
+ * never will.
+ */
+internal class ClaimedExecution(
+    private val instance: InstanceId,
+    private val incarnation: Incarnation,
+    private val claims: ClaimStore,
+    private val claimants: Claimants,
+    private val attempts: ServiceAttempts,
+    private val clock: MonotonicClock,
+    private val scope: CoroutineScope,
+    private val bounds: ClaimBounds = ClaimBounds(),
+) {
+    /** Claims [call] for [run], runs it when the claim is its own, and otherwise finds out how it stands. */
+    suspend fun run(call: KeyedCall, run: Run): RunOutcome {
+        val claimant = Claimant(instance, incarnation, run.sequence)
+        val record = ClaimRecord(claimant, call.digest)
+        var condition: WriteCondition = WriteCondition.Absent
+        repeat(MAXIMUM_TAKEOVERS) {
+            val begunAt = clock.now()
+            when (val state = claims.claim(call.id.objectKey, record, condition)) {
+                is ClaimState.Owned -> {
+                    val permission = SendPermission { clock.now() - begunAt <= bounds.sendWithin }
+                    return execute(call, record, state.version, permission)
+                }
+
+                is ClaimState.Foreign -> {
+                    resolve(call, state)?.let { return it }
+                    condition = WriteCondition.AtVersion(state.version)
+                }
+
+                else -> {
+                    return withoutClaim(state)
+                }
+            }
+        }
+        return RunOutcome.UnknownElsewhere(stillRunning(Peer.PLATFORM))
+    }
+
+    private fun withoutClaim(state: ClaimState): RunOutcome = when (state) {
+        is ClaimState.Unreadable -> {
+            RunOutcome.UnknownElsewhere(outcomeUnknown(Peer.PLATFORM, "the claim of this key cannot be read"))
+        }
+
+        else -> {
+            RunOutcome.NotRun(notClaimed(Peer.PLATFORM, "the store did not confirm the claim, a ticket needs no store"))
+        }
+    }
+
+    private suspend fun execute(
+        call: KeyedCall,
+        record: ClaimRecord,
+        version: ObjectVersion,
+        permission: SendPermission,
+    ): RunOutcome {
+        val key = call.id.objectKey
+        return attempts.run(call.work, call.request, permission).fold(
+            { failure ->
+                if (failure.effect == Effect.NOT_RUN) {
+                    scope.launch { claims.release(key, version) }
+                    RunOutcome.NotRun(failure)
+                } else {
+                    scope.launch { claims.finish(key, record, version, ClaimOutcome.Unknown) }
+                    RunOutcome.Lost(failure)
+                }
+            },
+            { answer ->
+                scope.launch { claims.finish(key, record, version, kept(answer)) }
+                RunOutcome.Ran(answer)
+            },
+        )
+    }
+
+    private fun kept(answer: ServiceAnswer): ClaimOutcome {
+        val tooLong = answer.body.size > bounds.keptAnswerBytes
+        return if (tooLong) ClaimOutcome.NotKept else ClaimOutcome.Answered(recordedAnswer(answer))
+    }
+
+    /** Returns how the call stands at its claimant, or null when the claim can be taken over. */
+    private suspend fun resolve(call: KeyedCall, claim: ClaimState.Foreign): RunOutcome? {
+        if (claim.record.digest != call.digest) return RunOutcome.NotRun(keyReused())
+        claim.record.outcome?.let { return outcomeOf(it) }
+        val reply = claimants.ask(call.id, claim.record.claimant)
+        return when (reply?.status) {
+            ClaimStatus.ABANDONED -> null
+            ClaimStatus.ANSWERED -> reply.answer?.let { RunOutcome.RanElsewhere(serviceAnswer(it)) }
+            ClaimStatus.UNKNOWN -> outcomeOf(ClaimOutcome.Unknown)
+            ClaimStatus.RUNNING -> RunOutcome.UnknownElsewhere(stillRunning(peerOf(claim.record.claimant)))
+            ClaimStatus.NOT_KNOWN, null -> lastRecord(call, claim)
+        }
+    }
+
+    /** The claimant does not answer; it may have stored the outcome since the record was read. */
+    private suspend fun lastRecord(call: KeyedCall, claim: ClaimState.Foreign): RunOutcome {
+        val current = claims.read(call.id.objectKey)?.let { decodeClaim(it.value) }
+        val outcome = current?.takeIf { it.claimant == claim.record.claimant }?.outcome
+        return outcome?.let(::outcomeOf) ?: RunOutcome.UnknownElsewhere(
+            outcomeUnknown(
+                peerOf(claim.record.claimant),
+                "the instance that claimed this key does not know its outcome",
+            ),
+        )
+    }
+
+    private fun outcomeOf(outcome: ClaimOutcome): RunOutcome = when (outcome) {
+        is ClaimOutcome.Answered -> RunOutcome.RanElsewhere(serviceAnswer(outcome.answer))
+
+        ClaimOutcome.NotKept -> RunOutcome.UnknownElsewhere(
+            outcomeUnknown(Peer.PLATFORM, "the request ran, but its answer was too long to be kept"),
+        )
+
+        ClaimOutcome.Unknown -> RunOutcome.UnknownElsewhere(
+            outcomeUnknown(Peer.PLATFORM, "the request was sent, and whether it ran is not known"),
+        )
+    }
+
+    private fun peerOf(claimant: Claimant) = Peer("instance ${claimant.instance}")
+
+    private companion object {
+        const val MAXIMUM_TAKEOVERS = 4
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/nutmegspring/node/execution/TicketRoutes.kt
@@ -0,0 +1,53 @@
+package org.nutmegspring.node.execution
+
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.request.header
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.post
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.nutmegspring.identity.InstanceId
+import org.nutmegspring.node.configuration.ConfigurationView
+import org.nutmegspring.node.entry.Admission
+import org.nutmegspring.node.entry.apiErrorOf
+import org.nutmegspring.node.entry.respondError
+import org.nutmegspring.node.entry.respondJson
+
+/**
+ * A ticket as callers see it.
+ *
+ * @property ticket the value for the `Idempotency-Key` header
+ * @property instance the only instance that may ever run the call; others pass it on
+ */
+@Serializable
+data class TicketAnswer(
+    val ticket: String,
+    val instance: InstanceId,
+    @SerialName("expires_in_seconds") val expiresInSeconds: Long,
+)
+
+/** Serves `POST /v1/tickets`. A request without a key gets a ticket for services that are open to all. */
+class TicketRoutes(
+    private val admission: Admission,
+    private val configuration: ConfigurationView,
+    private val execution: KeyedServiceExecution,
+) {
+    /** Adds the route to [route]. */
+    fun addTo(route: Route) {
+        route.post("/v1/tickets") {
+            val open = call.request.header(HttpHeaders.Authorization) == null
+            val organisation = if (open) {
+                configuration.currency().mapLeft(::apiErrorOf).map { null }
+            } else {
+                admission.caller(call).map { it.organisation.id }
+            }
+            organisation.fold({ call.respondError(it) }) {
+                val ticket = execution.issueTicket(it)
+                val seconds = execution.lifetimeOf(ticket).inWholeSeconds
+                val answer = TicketAnswer(ticket.key.value, ticket.instance, seconds)
+                call.respondJson(TicketAnswer.serializer(), answer, HttpStatusCode.Created)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/kotlin/org/nutmegspring/node/instance/InnerSide.kt
@@ -0,0 +1,100 @@
+package org.nutmegspring.node.instance
+
+import io.micrometer.core.instrument.FunctionCounter
+import io.micrometer.core.instrument.MeterRegistry
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.runBlocking
+import org.nutmegspring.identity.Incarnation
+import org.nutmegspring.identity.Revision
+import org.nutmegspring.node.configuration.ConfigurationView
+import org.nutmegspring.node.membership.HeartbeatMembership
+import org.nutmegspring.node.membership.SelfDescription
+import org.nutmegspring.node.membership.SelfStatus
+import org.nutmegspring.node.observe.Telemetry
+import org.nutmegspring.node.settings.Settings
+import org.nutmegspring.platform.PlatformLists
+import org.nutmegspring.protocol.InnerTransport
+import org.nutmegspring.protocol.TransportCounters
+import org.nutmegspring.protocol.TransportOptions
+import org.nutmegspring.protocol.innerTransport
+import org.nutmegspring.time.MonotonicClock
+import java.security.SecureRandom
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration
+
+/** What of this instance's state is told to others. Concerns set it when they start. */
+class ReportedStatus(private val configuration: ConfigurationView) : SelfStatus {
+    /** How many requests run now. */
+    val running: AtomicInteger = AtomicInteger()
+
+    /** Reads how long ago the head of the configuration was read from the store. */
+    @Volatile
+    var storeEvidence: () -> Duration? = { null }
+
+    override fun load(): Double = running.get() / REQUESTS_AT_FULL_LOAD
+
+    override fun revision(): Revision = configuration.configuration.value.revision
+
+    override fun storeEvidenceAge(): Duration? = storeEvidence()
+
+    private companion object {
+        const val REQUESTS_AT_FULL_LOAD = 400.0
+    }
+}
+
+/** The side of an instance that other instances reach. */
+class InnerSide internal constructor(
+    val incarnation: Incarnation,
+    val transport: InnerTransport,
+    val membership: HeartbeatMembership,
+    val status: ReportedStatus,
+    /** The address for other instances, `host:port`. */
+    val address: String,
+) : AutoCloseable {
+    /** Tells other instances of this one, which serves callers at [callerAddress]. */
+    fun start(callerAddress: String, scope: CoroutineScope) {
+        membership.listensAt(callerAddress, address)
+        membership.start(transport, scope)
+    }
+
+    override fun close() = transport.close()
+}
+
+/** Opens the inner side of an instance. It tells others nothing before it is started. */
+internal fun innerSide(
+    settings: Settings,
+    configuration: ConfigurationView,
+    lists: PlatformLists,
+    telemetry: Telemetry,
+    clock: MonotonicClock,
+): InnerSide {
+    val incarnation = Incarnation(SecureRandom().nextLong())
+    val status = ReportedStatus(configuration)
+    val description = SelfDescription(
+        settings.instance.id,
+        incarnation,
+        settings.instance.dataCentre,
+        settings.callers.address,
+        settings.inner.address,
+    )
+    val membership = HeartbeatMembership(description, status, lists, clock)
+    val host = hostOf(settings.inner.address)
+    val options =
+        TransportOptions(settings.instance.id, incarnation, host, portOf(settings.inner.address), membership)
+    val transport = innerTransport(options, telemetry.tracer, clock)
+    val port = runBlocking { transport.start() }
+    bindCounters(telemetry.meters, transport.counters)
+    return InnerSide(incarnation, transport, membership, status, "$host:$port")
+}
+
+private fun bindCounters(meters: MeterRegistry, counters: TransportCounters) {
+    fun bind(name: String, read: (TransportCounters) -> Long) {
+        FunctionCounter.builder("nutmegspring.inner.$name", counters) { read(it).toDouble() }.register(meters)
+    }
+    bind("bytes.sent") { it.bytesSent }
+    bind("bytes.received") { it.bytesReceived }
+    bind("messages.sent") { it.framesSent }
+    bind("messages.received") { it.framesReceived }
+    bind("replies.dropped") { it.repliesDropped }
+    bind("exchanges.failed") { it.exchangesFailed }
+}
--- a/node/src/main/kotlin/org/nutmegspring/node/instance/Instance.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/instance/Instance.kt
@@ -5,6 +5,8 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import org.nutmegspring.execution.AttemptPolicy
+import org.nutmegspring.execution.RetryBudget
 import org.nutmegspring.identity.ModelId
 import org.nutmegspring.node.configuration.PolledConfigurationView
 import org.nutmegspring.node.engine.EngineClient
@@ -19,14 +21,18 @@
 import org.nutmegspring.node.entry.RunningServer
 import org.nutmegspring.node.entry.ServiceHandler
 import org.nutmegspring.node.entry.ServiceParts
-import org.nutmegspring.node.execution.SingleAttemptExecution
-import org.nutmegspring.node.execution.SingleAttemptServiceExecution
+import org.nutmegspring.node.execution.ExecutionParts
+import org.nutmegspring.node.execution.KeyedServiceExecution
+import org.nutmegspring.node.execution.ResumingExecution
+import org.nutmegspring.node.execution.ServiceAttempts
+import org.nutmegspring.node.execution.TicketRoutes
 import org.nutmegspring.node.limits.UnlimitedRateLimiter
 import org.nutmegspring.node.observe.telemetry
 import org.nutmegspring.node.routing.FewestRequestsChooser
 import org.nutmegspring.node.settings.Settings
 import org.nutmegspring.platform.http.httpPlatform
 import org.nutmegspring.time.systemMonotonicClock
+import java.security.SecureRandom
 import kotlin.time.Duration.Companion.milliseconds
 
 private val logger = KotlinLogging.logger {}
@@ -34,11 +40,15 @@
 /** One running instance of the system. */
 class Instance internal constructor(
     private val entry: RunningServer,
+    private val inner: InnerSide,
     private val owned: List<AutoCloseable>,
 ) : AutoCloseable {
     /** The address for callers and operators, `host:port`. */
     val callerAddress: String get() = entry.address
 
+    /** The address for other instances, `host:port`. */
+    val innerAddress: String get() = inner.address
+
     override fun close() {
         entry.close()
         owned.forEach { it.close() }
@@ -47,38 +57,74 @@
 
 /** Starts an instance with [settings]. */
 fun startInstance(settings: Settings): Instance {
-    val clock = systemMonotonicClock()
-    val epochSeconds = { System.currentTimeMillis() / MILLISECONDS_PER_SECOND }
+    val parts = InstanceParts(settings)
+    val entry = parts.entry.start(hostOf(settings.callers.address), portOf(settings.callers.address))
+    parts.inner.start(entry.address, parts.scope)
+    logger.atInfo {
+        message = "instance started"
+        payload = mapOf("instance" to settings.instance.id.value, "address" to entry.address)
+    }
+    val scope = AutoCloseable { parts.scope.cancel() }
+    return Instance(entry, parts.inner, listOf(scope, parts.inner, parts.client, parts.platform, parts.telemetry))
+}
+
+/** What one instance consists of. Each concern adds its parts here, after those that it needs. */
+internal class InstanceParts(settings: Settings) {
+    private val clock = systemMonotonicClock()
+    private val epochSeconds = { System.currentTimeMillis() / MILLISECONDS_PER_SECOND }
     val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     val telemetry = telemetry(settings.instance.id, settings.traces)
     val platform = httpPlatform(settings.platform.address, settings.platform.timeoutMilliseconds.milliseconds)
     val client = endpointHttpClient(settings.endpoints)
 
-    val configuration = PolledConfigurationView(platform, epochSeconds).also { it.start(scope) }
-    val listInterval = settings.endpoints.listIntervalMilliseconds.milliseconds
-    val chooser = FewestRequestsChooser(platform, listInterval, ModelId("ledger-small")).also { it.start(scope) }
-    val limiter = UnlimitedRateLimiter()
-    val generations = SingleAttemptExecution(chooser, EngineClient(client, telemetry), clock)
-    val serviceClient = ServiceClient(client, telemetry, settings.callers.maximumAnswerBytes)
-    val services = SingleAttemptServiceExecution(chooser, serviceClient, clock)
-    val admission = Admission(configuration, settings.callers)
-    val reader = CompletionRequestReader(settings.generation)
-    val completions = CompletionHandler(
+    private val configuration = PolledConfigurationView(platform, epochSeconds).also { it.start(scope) }
+    val inner = innerSide(settings, configuration, platform, telemetry, clock)
+
+    private val listInterval = settings.endpoints.listIntervalMilliseconds.milliseconds
+    private val chooser =
+        FewestRequestsChooser(platform, listInterval, ModelId("ledger-small")).also { it.start(scope) }
+    private val limiter = UnlimitedRateLimiter()
+
+    private val attemptPolicy = AttemptPolicy(RetryBudget())
+    private val generations = ResumingExecution(chooser, EngineClient(client, telemetry), clock, attemptPolicy)
+    private val serviceClient = ServiceClient(client, telemetry, settings.callers.maximumAnswerBytes)
+    private val services = KeyedServiceExecution(
+        ExecutionParts(
+            settings.instance.id,
+            inner.incarnation,
+            platform,
+            inner.transport,
+            ServiceAttempts(chooser, serviceClient, clock, attemptPolicy),
+            clock,
+            scope,
+            SecureRandom().generateSeed(TICKET_SECRET_BYTES),
+        ),
+    )
+
+    private val admission = Admission(configuration, settings.callers)
+    private val reader = CompletionRequestReader(settings.generation)
+    private val completions = CompletionHandler(
         CompletionParts(admission, configuration, reader, limiter, chooser, generations, clock, epochSeconds),
     )
-    val serviceHandler = ServiceHandler(ServiceParts(admission, configuration, limiter, services))
+    private val serviceHandler = ServiceHandler(ServiceParts(admission, configuration, limiter, services))
+    private val tickets = TicketRoutes(admission, configuration, services)
     val entry = EntryServer(
-        EntryParts(completions, serviceHandler, admission, configuration, chooser, telemetry, epochSeconds),
-    ).start(hostOf(settings.callers.address), portOf(settings.callers.address))
-    logger.atInfo {
-        message = "instance started"
-        payload = mapOf("instance" to settings.instance.id.value, "address" to entry.address)
-    }
-    return Instance(entry, listOf(AutoCloseable { scope.cancel() }, client, platform, telemetry))
+        EntryParts(
+            completions,
+            serviceHandler,
+            admission,
+            configuration,
+            chooser,
+            telemetry,
+            epochSeconds,
+            listOf { tickets.addTo(this) },
+        ),
+    )
 }
 
 private const val MILLISECONDS_PER_SECOND = 1_000L
+private const val TICKET_SECRET_BYTES = 32
 
-private fun hostOf(address: String) = address.substringBeforeLast(':')
+internal fun hostOf(address: String) = address.substringBeforeLast(':')
 
-private fun portOf(address: String) = address.substringAfterLast(':').toInt()
+internal fun portOf(address: String) = address.substringAfterLast(':').toInt()
--- a/node/src/main/kotlin/org/nutmegspring/node/membership/HeartbeatMembership.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/membership/HeartbeatMembership.kt
@@ -80,7 +80,7 @@
  * One lock guards the table and the departing endpoints. Nothing is called and no other lock is taken under it.
  */
 class HeartbeatMembership(
-    private val description: SelfDescription,
+    @Volatile private var description: SelfDescription,
     private val status: SelfStatus,
     private val lists: PlatformLists,
     private val clock: MonotonicClock,
@@ -127,6 +127,11 @@
 
     override fun innerAddress(instance: InstanceId): String? = synchronized(lock) { table.innerAddress(instance) }
 
+    /** Sets the addresses at which this instance listens. */
+    fun listensAt(callerAddress: String, innerAddress: String) {
+        description = description.copy(callerAddress = callerAddress, innerAddress = innerAddress)
+    }
+
     /** Starts heartbeats over [network] and reading of the list in [scope]. */
     fun start(network: InnerNetwork, scope: CoroutineScope) {
         network.addHandler(this)
