--- a/decisions/src/main/kotlin/org/nutmegspring/fairness/FairQueue.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/fairness/FairQueue.kt
@@ -65,6 +65,9 @@
         return expired
     }
 
+    /** Returns the item that [poll] would take, or null when none waits. */
+    fun peek(): QueuedItem<T>? = byStart.firstOrNull()?.items?.firstEntry()?.value
+
     /** Takes the next item, or returns null when none waits. Call [expire] before to leave out items that are late. */
     fun poll(): QueuedItem<T>? {
         val backlog = byStart.firstOrNull() ?: return null
--- a/decisions/src/main/kotlin/org/nutmegspring/routing/ExpectedDelayRouter.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/routing/ExpectedDelayRouter.kt
@@ -1,7 +1,6 @@
 package org.nutmegspring.routing
 
 import org.nutmegspring.identity.DataCentreId
-import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.time.MonotonicTime
 import kotlin.random.Random
 
@@ -15,14 +14,14 @@
     private val prefillers = CandidateSet(fleet)
     private val decoders = CandidateSet(fleet)
 
-    override fun choose(demand: GenerationDemand, now: MonotonicTime, exclude: Set<EndpointId>): Placement? {
-        prefillers.collect(demand, policy.sample, random) { it.prefills && it.id !in exclude }
+    override fun choose(demand: GenerationDemand, now: MonotonicTime, exclusion: Exclusion): Placement? {
+        prefillers.collect(demand, policy.sample, random) { it.prefills && it.accepts(now, exclusion) }
         if (prefillers.size == 0) return null
-        val decoder = decoder(demand, now, exclude)
+        val decoder = decoder(demand, now, exclusion)
         val scores = DoubleArray(prefillers.size) { score(prefillers.engine(it), decoder, demand, now) }
         val prefill = prefillers.engine(drawNearLeast(scores) ?: return null)
         val decode = if (prefill.decodes) prefill else checkNotNull(decoder).engine
-        return Placement(prefill, decode, demand.uncachedTokens(fleet.cache.leadingPieces(demand, prefill.slot)))
+        return fleet.placement(demand, prefill, decode, now)
     }
 
     private fun score(engine: EngineView, decoder: Decoder?, demand: GenerationDemand, now: MonotonicTime): Double {
@@ -54,9 +53,9 @@
     }
 
     /** Returns the best engine that only generates or does both, for prompts processed elsewhere. */
-    private fun decoder(demand: GenerationDemand, now: MonotonicTime, exclude: Set<EndpointId>): Decoder? {
+    private fun decoder(demand: GenerationDemand, now: MonotonicTime, exclusion: Exclusion): Decoder? {
         if (!hasPrefillOnly()) return null
-        decoders.collect(demand, policy.sample, random) { it.decodes && it.id !in exclude }
+        decoders.collect(demand, policy.sample, random) { it.decodes && it.accepts(now, exclusion) }
         if (decoders.size == 0) return null
         val scores = DoubleArray(decoders.size) {
             val engine = decoders.engine(it)
--- a/decisions/src/main/kotlin/org/nutmegspring/routing/FleetView.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/routing/FleetView.kt
@@ -10,17 +10,24 @@
  * What one instance knows of the engines that run one model. It is not safe for concurrent use.
  *
  * @property costs what the engines spend on their work
- * @property instances how many instances send to the same engines, this one included
  */
 class FleetView(
     val costs: EngineCosts,
-    var instances: Int = 1,
+    instances: Int = 1,
     cachedPieceCapacity: Int = DEFAULT_CACHED_PIECES,
 ) {
+    private val unreported = UnreportedTotal().also { it.instances = instances }
     private val byId = HashMap<EndpointId, EngineView>()
     private val slots = ArrayList<EngineView?>()
     private val present = ArrayList<EngineView>()
 
+    /** How many instances send to the same engines, this one included. */
+    var instances: Int
+        get() = unreported.instances
+        set(count) {
+            unreported.instances = count
+        }
+
     /** Where pieces are believed to be cached. */
     val cache: CacheIndex = CacheIndex(cachedPieceCapacity)
 
@@ -35,12 +42,17 @@
     internal fun at(slot: Int): EngineView? = slots.getOrNull(slot)
 
     /** Adds the engine [id]. Adding it again changes nothing. */
-    fun add(id: EndpointId, dataCentre: DataCentreId): EngineView = byId.getOrPut(id) {
+    fun add(
+        id: EndpointId,
+        dataCentre: DataCentreId,
+        health: EndpointHealth = EndpointHealth(),
+    ): EngineView = byId.getOrPut(id) {
         val free = slots.indexOf(null)
         val slot = if (free >= 0) free else slots.size
-        val engine = EngineView(slot, id, dataCentre, costs)
+        val engine = EngineView(slot, id, dataCentre, costs, health, unreported)
         if (free >= 0) slots[slot] = engine else slots.add(engine)
         present.add(engine)
+        unreported.engines = present.size
         placement.add(slot, stableHash(id))
         engine
     }
@@ -50,15 +62,12 @@
         val engine = byId.remove(id) ?: return
         slots[engine.slot] = null
         present.remove(engine)
+        engine.forget()
+        unreported.engines = present.size
         placement.remove(engine.slot)
         cache.clear(engine.slot)
     }
 
-    /** Sets whether the engine [id] takes new work. */
-    fun setAccepting(id: EndpointId, accepting: Boolean) {
-        byId[id]?.accepting = accepting
-    }
-
     /** Applies [report], received at [now] and about as old as [lag]. */
     fun apply(report: LoadReport, now: MonotonicTime, lag: Duration) {
         val engine = byId[report.engine] ?: return
@@ -66,6 +75,21 @@
         report.cachedPieces.forEach { cache.record(it.piece, engine.slot, it.present) }
     }
 
+    /** Returns the placement of [demand] at [prefill] and [decode] with what is expected of it at [now]. */
+    fun placement(demand: GenerationDemand, prefill: EngineView, decode: EngineView, now: MonotonicTime): Placement {
+        val uncached = demand.uncachedTokens(cache.leadingPieces(demand, prefill.slot))
+        val waiting = prefill.expectedTokens(now)
+        val share = minOf(decode.expectedTokens(now), costs.prefillTokensPerIteration.toDouble())
+        return Placement(
+            prefill = prefill,
+            decode = decode,
+            expectedUncachedTokens = uncached,
+            expectedFirstToken = costs.prefill(waiting + uncached, prefill.expectedStreams()),
+            leastFirstToken = costs.prefill(uncached.toDouble(), 0.0),
+            expectedGap = costs.iteration(share, decode.expectedStreams() + 1),
+        )
+    }
+
     /** Counts that [demand] goes to [placement] at [now], before any report can show it. */
     fun sent(demand: GenerationDemand, placement: Placement, now: MonotonicTime) {
         val multiple = instances.coerceIn(1, MAXIMUM_MULTIPLE)
--- a/decisions/src/main/kotlin/org/nutmegspring/routing/GenerationDemand.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/routing/GenerationDemand.kt
@@ -19,9 +19,18 @@
     fun uncachedTokens(cachedPieces: Int): Int = maxOf(1, promptTokens - cachedPieces * TOKENS_PER_PIECE)
 }
 
-/** The engines chosen for a request. Both are the same engine when it does prefill and decode. */
+/**
+ * The engines chosen for a request. Both are the same engine when it does prefill and decode. Times are in seconds.
+ *
+ * @property expectedFirstToken the expected delay of the first token
+ * @property leastFirstToken the delay of the first token if the engine did nothing else
+ * @property expectedGap the expected time between tokens
+ */
 data class Placement(
     val prefill: EngineView,
     val decode: EngineView,
     val expectedUncachedTokens: Int,
+    val expectedFirstToken: Double,
+    val leastFirstToken: Double,
+    val expectedGap: Double,
 )
--- a/decisions/src/main/kotlin/org/nutmegspring/routing/LoadRouter.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/routing/LoadRouter.kt
@@ -1,6 +1,5 @@
 package org.nutmegspring.routing
 
-import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.time.MonotonicTime
 import kotlin.random.Random
 
@@ -10,8 +9,8 @@
     private val policy: RoutingPolicy,
     private val random: Random,
 ) : Router {
-    override fun choose(demand: GenerationDemand, now: MonotonicTime, exclude: Set<EndpointId>): Placement? {
-        val eligible = fleet.engines.filter { it.prefills && it.id !in exclude }
+    override fun choose(demand: GenerationDemand, now: MonotonicTime, exclusion: Exclusion): Placement? {
+        val eligible = fleet.engines.filter { it.prefills && it.accepts(now, exclusion) }
         if (eligible.isEmpty()) return null
         val prefill = when (policy) {
             is RoutingPolicy.TwoChoices -> twoChoices(eligible, now)
@@ -19,17 +18,16 @@
             is RoutingPolicy.CacheVotes -> cacheVotes(eligible, policy, demand, now)
             is RoutingPolicy.LeastLoaded, is RoutingPolicy.ExpectedDelay -> leastLoaded(eligible, now)
         }
-        val decode = if (prefill.decodes) prefill else decoder(prefill, now, exclude) ?: return null
-        val cached = fleet.cache.leadingPieces(demand, prefill.slot)
-        return Placement(prefill, decode, demand.uncachedTokens(cached))
+        val decode = if (prefill.decodes) prefill else decoder(prefill, now, exclusion) ?: return null
+        return fleet.placement(demand, prefill, decode, now)
     }
 
     private fun leastLoaded(engines: List<EngineView>, now: MonotonicTime): EngineView =
         engines.minBy { it.loadSeconds(now) }
 
-    private fun decoder(prefill: EngineView, now: MonotonicTime, exclude: Set<EndpointId>): EngineView? =
+    private fun decoder(prefill: EngineView, now: MonotonicTime, exclusion: Exclusion): EngineView? =
         fleet.engines
-            .filter { it.decodes && it.id !in exclude }
+            .filter { it.decodes && it.accepts(now, exclusion) }
             .minWithOrNull(compareBy({ it.loadSeconds(now) }, { it.dataCentre != prefill.dataCentre }))
 
     private fun twoChoices(engines: List<EngineView>, now: MonotonicTime): EngineView {
--- a/decisions/src/test/kotlin/org/nutmegspring/routing/EngineViewSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/routing/EngineViewSpec.kt
@@ -27,13 +27,15 @@
         private val fleet = FleetView(EngineCosts(), instances = 7)
         private val engine = fleet.add(id, centre)
 
-        private fun send(time: MonotonicTime) = fleet.sent(demand, Placement(engine, engine, 4_000), time)
+        private fun send(time: MonotonicTime) = fleet.sent(demand, fleet.placement(demand, engine, engine, time), time)
 
         @Test
         fun `it counts at once, and for all instances that see the same report`() {
             send(start)
             assertEquals(28_000.0, engine.queuedTokens(start))
             assertEquals(7.0, engine.streams())
+            assertEquals(28_000.0, engine.expectedTokens(start))
+            assertEquals(7.0, engine.expectedStreams())
         }
 
         @Test
--- a/decisions/src/test/kotlin/org/nutmegspring/routing/RouterSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/routing/RouterSpec.kt
@@ -63,7 +63,7 @@
                 fleet.apply(report(2, cached = demand.pieces, changing = true), start, Duration.ZERO)
                 val router = router(fleet, policy, Random(5))
                 repeat(200) {
-                    val chosen = assertNotNull(router.choose(demand, start, setOf(engine(4)))).prefill.id
+                    val chosen = assertNotNull(router.choose(demand, start, Exclusion(setOf(engine(4))))).prefill.id
                     assertTrue(chosen != engine(2) && chosen != engine(4), "$policy chose $chosen")
                 }
             }
@@ -73,7 +73,7 @@
         fun `nothing is chosen when it is the only one`() {
             for (policy in policies) {
                 val fleet = fleet(1)
-                fleet.setAccepting(engine(0), false)
+                fleet.find(engine(0))?.departing = true
                 assertNull(router(fleet, policy, Random(5)).choose(demand, start))
             }
         }
--- a/measure/src/main/kotlin/org/nutmegspring/measure/routing/RequestOutcomes.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/routing/RequestOutcomes.kt
@@ -1,6 +1,7 @@
 package org.nutmegspring.measure.routing
 
 import org.HdrHistogram.Histogram
+import org.nutmegspring.identity.OrganisationId
 
 /** The goals for the delay of a request's tokens, in seconds. */
 object LatencyGoals {
@@ -32,9 +33,27 @@
     /** The 95th percentile of the delay of the first token in seconds, over the requests that had one. */
     val firstTokenPercentile: Double get() = firstTokens.getValueAtPercentile(PERCENTILE) / MICROSECONDS_PER_SECOND
 
+    /** Requests that were refused. */
+    var refused: Long = 0
+        private set
+
+    private val goodByOrganisation = HashMap<OrganisationId, Int>()
+    private val offeredByOrganisation = HashMap<OrganisationId, Int>()
+
+    /** The share of requests that met both goals, of the organisation for which it is least. */
+    val worstServedShare: Double
+        get() = offeredByOrganisation.minOfOrNull { (id, count) -> (goodByOrganisation[id] ?: 0).toDouble() / count }
+            ?: 0.0
+
+    /** Counts a refusal. */
+    fun refused() {
+        refused++
+    }
+
     /** Counts an arrival. */
-    fun arrived() {
+    fun arrived(organisation: OrganisationId) {
         offered++
+        offeredByOrganisation.merge(organisation, 1, Int::plus)
     }
 
     /** Counts a first token [seconds] after the arrival. */
@@ -45,9 +64,12 @@
     }
 
     /** Counts the end of a request. */
-    fun finished(firstTokenSeconds: Double, gapSeconds: Double) {
+    fun finished(organisation: OrganisationId, firstTokenSeconds: Double, gapSeconds: Double) {
         val inTime = firstTokenSeconds <= LatencyGoals.FIRST_TOKEN_SECONDS
-        if (inTime && gapSeconds <= LatencyGoals.TOKEN_GAP_SECONDS) good++
+        if (inTime && gapSeconds <= LatencyGoals.TOKEN_GAP_SECONDS) {
+            good++
+            goodByOrganisation.merge(organisation, 1, Int::plus)
+        }
     }
 
     private companion object {
--- a/measure/src/main/kotlin/org/nutmegspring/measure/routing/RoutingComparison.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/routing/RoutingComparison.kt
@@ -1,9 +1,5 @@
 package org.nutmegspring.measure.routing
 
-import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.async
-import kotlinx.coroutines.awaitAll
-import kotlinx.coroutines.runBlocking
 import org.nutmegspring.routing.RoutingPolicy
 
 /**
@@ -12,13 +8,20 @@
  * @property shared whether requests share prefixes
  * @property rates requests per second and engine
  * @property reference the rate at which cache hits, first tokens and imbalance are shown
+ * @property overloads the rates at which admission is compared with taking every request
  */
-enum class OfferedLoad(val label: String, val shared: Boolean, val rates: List<Double>, val reference: Double) {
+enum class OfferedLoad(
+    val label: String,
+    val shared: Boolean,
+    val rates: List<Double>,
+    val reference: Double,
+    val overloads: List<Double>,
+) {
     /** Requests of a group start with the same pieces. */
-    SHARED("shared", true, listOf(4.0, 6.0, 8.0, 10.0, 12.0, 14.0), 8.0),
+    SHARED("shared", true, listOf(4.0, 6.0, 8.0, 10.0, 12.0, 14.0), 8.0, listOf(8.0, 16.0, 20.0)),
 
     /** No two requests start alike. */
-    UNSHARED("unshared", false, listOf(1.0, 2.0, 3.0, 4.0, 5.0), 3.0),
+    UNSHARED("unshared", false, listOf(1.0, 2.0, 3.0, 4.0, 5.0), 3.0, listOf(3.0, 6.0, 8.0)),
 }
 
 /**
@@ -45,20 +48,15 @@
 
 /** Runs every policy on the same traffic for each seed. */
 class RoutingComparison(private val policies: List<RoutingPolicy>, private val seeds: List<Long>) {
-    private val dispatcher = Dispatchers.Default.limitedParallelism(PARALLEL_RUNS)
-
     /** Runs the comparison for [office] under [load]. */
-    fun run(office: Office, load: OfferedLoad): ComparisonResult = runBlocking(dispatcher) {
-        val runs = policies.map { policy ->
-            load.rates.map { rate ->
+    fun run(office: Office, load: OfferedLoad): ComparisonResult {
+        val settings = policies.flatMap { policy ->
+            load.rates.flatMap { rate ->
                 val traffic = TrafficSetting(rate * office.engines, load.shared)
-                seeds.map { async { RoutingRun(RoutingRunSetting(office, policy, traffic, it)).run() } }
+                seeds.map { RoutingRunSetting(office, policy, traffic, it) }
             }
         }
-        ComparisonResult(load, runs.map { rates -> rates.map { it.awaitAll() } })
-    }
-
-    private companion object {
-        const val PARALLEL_RUNS = 3
+        val results = inParallel(settings) { RoutingRun(it).run() }
+        return ComparisonResult(load, results.chunked(seeds.size).chunked(load.rates.size))
     }
 }
--- a/measure/src/main/kotlin/org/nutmegspring/measure/routing/RoutingMeasure.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/routing/RoutingMeasure.kt
@@ -35,6 +35,7 @@
                 }
             }
         }
+        Office.entries.forEach { figures += OverloadComparison(seeds).run(it, progress) }
         val slope = DecisionSlope(request.seed).run(progress)
         figures += slope.figures
         return MeasureReport(
--- a/measure/src/main/kotlin/org/nutmegspring/measure/routing/RoutingRun.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/routing/RoutingRun.kt
@@ -1,5 +1,6 @@
 package org.nutmegspring.measure.routing
 
+import org.nutmegspring.admission.AdmissionQueue
 import org.nutmegspring.endpoint.CacheEvent
 import org.nutmegspring.endpoint.LoadReport
 import org.nutmegspring.identity.DataCentreId
@@ -8,7 +9,7 @@
 import org.nutmegspring.measure.virtual.VirtualSchedule
 import org.nutmegspring.routing.EngineCosts
 import org.nutmegspring.routing.FleetView
-import org.nutmegspring.routing.Router
+import org.nutmegspring.routing.Placement
 import org.nutmegspring.routing.RoutingPolicy
 import org.nutmegspring.routing.router
 import org.nutmegspring.time.MonotonicTime
@@ -25,6 +26,7 @@
     val policy: RoutingPolicy,
     val traffic: TrafficSetting,
     val seed: Long,
+    val admission: Boolean = false,
     val length: Duration = 75.seconds,
     val warmUp: Duration = 15.seconds,
 )
@@ -32,6 +34,7 @@
 /**
  * What one run gave.
  *
+ * @property worstServedShare the share of requests that met both goals, of the organisation for which it is least
  * @property goodput requests in a second that met both latency goals
  * @property imbalance the standard deviation over the engines of the work done in a second, divided by its mean, on
  *     average over the run
@@ -42,6 +45,8 @@
     val cacheHitShare: Double,
     val firstTokenPercentileSeconds: Double,
     val imbalance: Double,
+    val refusedShare: Double,
+    val worstServedShare: Double,
 )
 
 /** Runs one policy at seven instances, each with its own view of the engines, on virtual time. */
@@ -75,14 +80,17 @@
             cacheHitShare = outcomes.cacheHitShare,
             firstTokenPercentileSeconds = outcomes.firstTokenPercentile,
             imbalance = imbalances.average(),
+            refusedShare = outcomes.refused.toDouble() / maxOf(1, outcomes.offered),
+            worstServedShare = outcomes.worstServedShare,
         )
     }
 
-    private fun entryInstance(index: Int): EntryInstance {
+    private fun entryInstance(index: Int): EntryModel {
         val fleet = FleetView(costs, INSTANCES)
         engines.forEach { fleet.add(it.id, it.dataCentre) }
         val router = router(fleet, setting.policy, Random(random.nextLong()))
-        return EntryInstance(fleet, router, centres[index % centres.size])
+        val admission = if (setting.admission) AdmissionQueue<EntryModel.HeldRequest>() else null
+        return EntryModel(fleet, router, centres[index % centres.size], admission, schedule)
     }
 
     private fun scheduleReport(engine: EngineModel, delay: Duration) {
@@ -131,28 +139,25 @@
 
     private fun dispatch(request: OfferedRequest) {
         val counted = schedule.now() >= warmUpEnd
-        val tracked = TrackedRequest(request, schedule, outcomes.takeIf { counted })
-        if (counted) outcomes.arrived()
+        if (counted) outcomes.arrived(request.organisation)
         val instance = instances[random.nextInt(INSTANCES)]
-        val demand = tracked.demand(instance.dataCentre)
-        val placement = instance.router.choose(demand, schedule.now()) ?: return
-        instance.fleet.sent(demand, placement, schedule.now())
-        val distance = if (placement.prefill.dataCentre ==
-            instance.dataCentre
-        ) {
-            Duration.ZERO
-        } else {
-            setting.office.distance
-        }
-        schedule.after(distance) {
+        val outcomes = outcomes.takeIf { counted }
+        instance.offer(
+            TrackedRequest(request, schedule, outcomes, instance.dataCentre) { tracked, placement ->
+                start(tracked, placement, instance.dataCentre)
+            },
+        )
+    }
+
+    private fun start(tracked: TrackedRequest, placement: Placement, origin: DataCentreId) {
+        val near = placement.prefill.dataCentre == origin
+        schedule.after(if (near) Duration.ZERO else setting.office.distance) {
             tracked.start(engine(placement.prefill.id), engine(placement.decode.id), costs)
         }
     }
 
     private fun engine(id: EndpointId): EngineModel = engines.first { it.id == id }
 
-    private class EntryInstance(val fleet: FleetView, val router: Router, val dataCentre: DataCentreId)
-
     private companion object {
         const val INSTANCES = 7
         const val CACHE_PIECES = 240
--- a/measure/src/main/kotlin/org/nutmegspring/measure/routing/TrackedRequest.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/routing/TrackedRequest.kt
@@ -1,6 +1,7 @@
 package org.nutmegspring.measure.routing
 
 import org.nutmegspring.identity.DataCentreId
+import org.nutmegspring.identity.OrganisationId
 import org.nutmegspring.measure.engine.EngineJob
 import org.nutmegspring.measure.engine.EngineJobListener
 import org.nutmegspring.measure.engine.EngineModel
@@ -8,6 +9,7 @@
 import org.nutmegspring.measure.virtual.VirtualSchedule
 import org.nutmegspring.routing.EngineCosts
 import org.nutmegspring.routing.GenerationDemand
+import org.nutmegspring.routing.Placement
 import org.nutmegspring.routing.TOKENS_PER_PIECE
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration.Companion.seconds
@@ -18,14 +20,23 @@
     private val request: OfferedRequest,
     private val schedule: VirtualSchedule,
     private val outcomes: RequestOutcomes?,
-) : EngineJobListener {
+    origin: DataCentreId,
+    private val placed: (TrackedRequest, Placement) -> Unit,
+) : EngineJobListener,
+    EntryModel.HeldRequest {
     private val arrival = schedule.now()
     private var firstToken = MonotonicTime.ZERO
     private var continuation: (() -> Unit)? = null
 
-    /** Returns what the request asks of the engines when it arrives in [origin]. */
-    fun demand(origin: DataCentreId): GenerationDemand =
-        GenerationDemand(request.pieces.toList(), request.promptTokens, request.outputTokens, origin)
+    override val demand = GenerationDemand(request.pieces.toList(), request.promptTokens, request.outputTokens, origin)
+
+    override val organisation: OrganisationId get() = request.organisation
+
+    override fun onPlaced(placement: Placement) = placed(this, placement)
+
+    override fun onRefused() {
+        outcomes?.refused()
+    }
 
     /** Starts the request at [prefill] and goes on at [decode] when that is another engine. */
     fun start(prefill: EngineModel, decode: EngineModel, costs: EngineCosts) {
@@ -53,7 +64,7 @@
             return
         }
         val gap = secondsBetween(firstToken, time) / maxOf(1, request.outputTokens - 1)
-        outcomes?.finished(secondsBetween(arrival, firstToken), gap)
+        outcomes?.finished(request.organisation, secondsBetween(arrival, firstToken), gap)
     }
 
     private fun job(part: JobPart): EngineJob =
--- a/measure/src/main/kotlin/org/nutmegspring/measure/routing/Traffic.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/routing/Traffic.kt
@@ -1,5 +1,6 @@
 package org.nutmegspring.measure.routing
 
+import org.nutmegspring.identity.OrganisationId
 import org.nutmegspring.routing.TOKENS_PER_PIECE
 import kotlin.math.PI
 import kotlin.math.ln
@@ -29,6 +30,7 @@
     val pieces: LongArray,
     val promptTokens: Int,
     val outputTokens: Int,
+    val organisation: OrganisationId,
 )
 
 /** Draws requests: long prompts with short outputs and short prompts with longer outputs, in a mix that swings. */
@@ -45,7 +47,13 @@
         val long = random.nextDouble() < longShare()
         val count = if (long) LONG_PIECES + group % 2 else SHORT_PIECES
         val output = if (long) between(LONG_OUTPUT) else between(SHORT_OUTPUT)
-        return OfferedRequest(delay, pieces(group, count), count * TOKENS_PER_PIECE + between(OWN_TOKENS), output)
+        val promptTokens = count * TOKENS_PER_PIECE + between(OWN_TOKENS)
+        return OfferedRequest(delay, pieces(group, count), promptTokens, output, organisation())
+    }
+
+    private fun organisation(): OrganisationId {
+        val drawn = random.nextDouble()
+        return ORGANISATIONS[ORGANISATION_SHARES.indexOfFirst { drawn < it }]
     }
 
     private fun longShare(): Double = HALF + setting.swingAmplitude * sin(2 * PI * seconds / setting.swingSeconds)
@@ -75,6 +83,8 @@
     }
 
     private companion object {
+        val ORGANISATION_SHARES = listOf(0.45, 0.75, 0.88, 0.95, 1.0)
+        val ORGANISATIONS = List(ORGANISATION_SHARES.size) { OrganisationId("organisation-$it") }
         const val HALF = 0.5
         const val SKEW = 0.9
         const val SHORT_PIECES = 1
