--- a/decisions/src/main/kotlin/org/nutmegspring/routing/EngineCosts.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/routing/EngineCosts.kt
@@ -2,9 +2,6 @@
 
 import kotlin.math.ceil
 
-/** The number of prompt tokens in one piece of the prefix cache. */
-const val TOKENS_PER_PIECE: Int = 2_000
-
 /**
  * What an engine spends on an iteration of continuous batching. All times are in seconds.
  *
--- a/decisions/src/main/kotlin/org/nutmegspring/routing/ExpectedDelayRouter.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/routing/ExpectedDelayRouter.kt
@@ -1,6 +1,7 @@
 package org.nutmegspring.routing
 
 import org.nutmegspring.identity.DataCentreId
+import org.nutmegspring.prompt.TOKENS_PER_PIECE
 import org.nutmegspring.time.MonotonicTime
 import kotlin.random.Random
 
--- a/decisions/src/main/kotlin/org/nutmegspring/routing/GenerationDemand.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/routing/GenerationDemand.kt
@@ -1,6 +1,7 @@
 package org.nutmegspring.routing
 
 import org.nutmegspring.identity.DataCentreId
+import org.nutmegspring.prompt.TOKENS_PER_PIECE
 
 /**
  * What a request for text generation asks of the engines.
--- a/measure/src/main/kotlin/org/nutmegspring/measure/engine/EngineModel.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/engine/EngineModel.kt
@@ -7,8 +7,8 @@
 import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.identity.ModelId
 import org.nutmegspring.measure.virtual.VirtualSchedule
+import org.nutmegspring.prompt.TOKENS_PER_PIECE
 import org.nutmegspring.routing.EngineCosts
-import org.nutmegspring.routing.TOKENS_PER_PIECE
 import java.util.PriorityQueue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.nanoseconds
--- a/measure/src/main/kotlin/org/nutmegspring/measure/routing/DecisionSlope.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/routing/DecisionSlope.kt
@@ -7,11 +7,11 @@
 import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.identity.ModelId
 import org.nutmegspring.measure.Progress
+import org.nutmegspring.prompt.TOKENS_PER_PIECE
 import org.nutmegspring.routing.EngineCosts
 import org.nutmegspring.routing.FleetView
 import org.nutmegspring.routing.GenerationDemand
 import org.nutmegspring.routing.RoutingPolicy
-import org.nutmegspring.routing.TOKENS_PER_PIECE
 import org.nutmegspring.routing.router
 import org.nutmegspring.time.MonotonicTime
 import kotlin.random.Random
--- a/measure/src/main/kotlin/org/nutmegspring/measure/routing/TrackedRequest.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/routing/TrackedRequest.kt
@@ -7,10 +7,10 @@
 import org.nutmegspring.measure.engine.EngineModel
 import org.nutmegspring.measure.engine.JobPart
 import org.nutmegspring.measure.virtual.VirtualSchedule
+import org.nutmegspring.prompt.TOKENS_PER_PIECE
 import org.nutmegspring.routing.EngineCosts
 import org.nutmegspring.routing.GenerationDemand
 import org.nutmegspring.routing.Placement
-import org.nutmegspring.routing.TOKENS_PER_PIECE
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
--- a/measure/src/main/kotlin/org/nutmegspring/measure/routing/Traffic.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/routing/Traffic.kt
@@ -1,7 +1,7 @@
 package org.nutmegspring.measure.routing
 
 import org.nutmegspring.identity.OrganisationId
-import org.nutmegspring.routing.TOKENS_PER_PIECE
+import org.nutmegspring.prompt.TOKENS_PER_PIECE
 import kotlin.math.PI
 import kotlin.math.ln
 import kotlin.math.pow
--- a/measure/src/test/kotlin/org/nutmegspring/measure/routing/RoutingRunSpec.kt
+++ b/measure/src/test/kotlin/org/nutmegspring/measure/routing/RoutingRunSpec.kt
@@ -8,9 +8,17 @@
 import kotlin.time.Duration.Companion.seconds
 
 class RoutingRunSpec {
-    private fun run(policy: RoutingPolicy, shared: Boolean, seed: Long, rate: Double): RoutingRunResult {
+    private fun run(
+        policy: RoutingPolicy,
+        shared: Boolean,
+        seed: Long,
+        rate: Double,
+        admission: Boolean = false,
+    ): RoutingRunResult {
         val traffic = TrafficSetting(rate * Office.AMMAN.engines, shared)
-        return RoutingRun(RoutingRunSetting(Office.AMMAN, policy, traffic, seed, 30.seconds, 10.seconds)).run()
+        return RoutingRun(
+            RoutingRunSetting(Office.AMMAN, policy, traffic, seed, admission, 30.seconds, 10.seconds),
+        ).run()
     }
 
     @Nested
@@ -41,4 +49,16 @@
             assertTrue(product.cacheHitShare > baseline.cacheHitShare)
         }
     }
+
+    @Nested
+    inner class `given far more load than the engines can serve` {
+        @Test
+        fun `admission keeps a part of the requests in time`() {
+            val policy = RoutingPolicy.ExpectedDelay()
+            val with = run(policy, shared = false, seed = 24, rate = 8.0, admission = true)
+            val without = run(policy, shared = false, seed = 24, rate = 8.0)
+            assertTrue(with.goodput >= 1.1 * without.goodput, "$with against $without")
+            assertTrue(with.refusedShare > 0 && with.worstServedShare > 0, with.toString())
+        }
+    }
 }
