Prove the caller's side over HTTP

Cause: nothing tested that answers are whole, bad input is refused with 4xx, keys stay at the entry and a caller that goes away frees the engine. The exporter of spans to the log wrote past our log format; the test that looks for one trace per request failed on it. Spans are structured log lines of our own logger now.

--- a/node/src/main/kotlin/org/nutmegspring/node/observe/Telemetry.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/observe/Telemetry.kt
@@ -6,7 +6,6 @@
 import io.opentelemetry.api.trace.Tracer
 import io.opentelemetry.api.trace.propagation.W3CTraceContextPropagator
 import io.opentelemetry.context.propagation.ContextPropagators
-import io.opentelemetry.exporter.logging.LoggingSpanExporter
 import io.opentelemetry.exporter.otlp.trace.OtlpGrpcSpanExporter
 import io.opentelemetry.sdk.OpenTelemetrySdk
 import io.opentelemetry.sdk.resources.Resource
@@ -41,7 +40,7 @@
         .setResource(Resource.getDefault().merge(Resource.create(attributes(instance))))
     when (traces.exporter) {
         TraceExporter.NONE -> Unit
-        TraceExporter.LOG -> provider.addSpanProcessor(SimpleSpanProcessor.create(LoggingSpanExporter.create()))
+        TraceExporter.LOG -> provider.addSpanProcessor(SimpleSpanProcessor.create(LogSpanExporter()))
         TraceExporter.OTLP -> provider.addSpanProcessor(BatchSpanProcessor.builder(otlp(traces.address)).build())
     }
     val openTelemetry = OpenTelemetrySdk.builder()
--- /dev/null
+++ b/node/src/test/kotlin/org/nutmegspring/node/TestFleet.kt
@@ -0,0 +1,118 @@
+package org.nutmegspring.node
+
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.request.get
+import io.ktor.client.request.header
+import io.ktor.client.request.preparePost
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.HttpStatement
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import kotlinx.serialization.json.Json
+import org.nutmegspring.configuration.ApiKey
+import org.nutmegspring.configuration.CallPattern
+import org.nutmegspring.configuration.Configuration
+import org.nutmegspring.configuration.Organisation
+import org.nutmegspring.configuration.Service
+import org.nutmegspring.configuration.TokenRate
+import org.nutmegspring.endpoint.EndpointDescription
+import org.nutmegspring.endpoint.EndpointKind
+import org.nutmegspring.identity.DataCentreId
+import org.nutmegspring.identity.EndpointId
+import org.nutmegspring.identity.KeyId
+import org.nutmegspring.identity.OrganisationId
+import org.nutmegspring.identity.Revision
+import org.nutmegspring.identity.ServiceId
+import org.nutmegspring.node.configuration.CONFIGURATION_OBJECT
+import org.nutmegspring.node.configuration.hashOf
+import org.nutmegspring.node.instance.Instance
+import org.nutmegspring.node.instance.startInstance
+import org.nutmegspring.node.settings.SettingsLoader
+import org.nutmegspring.platform.ListedEndpoint
+import org.nutmegspring.platform.ListedState
+import org.nutmegspring.platform.WriteCondition
+import org.nutmegspring.standin.engine.EngineStandIn
+import org.nutmegspring.standin.engine.EngineStandInSettings
+import org.nutmegspring.standin.platform.PlatformStandIn
+import org.nutmegspring.standin.service.ServiceStandIn
+import kotlin.time.Duration.Companion.seconds
+
+/** A platform stand-in, two engines, a plain service and one instance on loopback. */
+class TestFleet : AutoCloseable {
+    private val owned = ArrayDeque<AutoCloseable>()
+    private val dataCentre = DataCentreId("rennes")
+    private val service = ServiceId("tags")
+    val key = "nsk_secret-of-the-caller"
+    val platform = PlatformStandIn()
+    val services = ServiceStandIn(service.value)
+    val engines: List<EngineStandIn>
+    val instance: Instance
+    val client = HttpClient(CIO).also { owned.addFirst(it) }
+
+    init {
+        val platformAddress = platform.start(HOST, 0).also { owned.addFirst(it) }.address
+        engines = (1..2).map { startEngine(it) }
+        val serviceAddress = services.start(HOST, 0).also { owned.addFirst(it) }.address
+        list(EndpointDescription(EndpointId("tags-1"), EndpointKind.Plain(service), dataCentre, serviceAddress))
+        configure()
+        instance = startInstance(settings(platformAddress)).also { owned.addFirst(it) }
+        runBlocking { awaitTrue { client.get("http://${instance.callerAddress}/readyz").status == HttpStatusCode.OK } }
+    }
+
+    fun post(path: String, body: String, bearer: String? = key): HttpStatement = runBlocking {
+        client.preparePost("http://${instance.callerAddress}$path") {
+            bearer?.let { header(HttpHeaders.Authorization, "Bearer $it") }
+            setBody(body)
+        }
+    }
+
+    override fun close() = owned.forEach { it.close() }
+
+    private fun startEngine(number: Int): EngineStandIn {
+        val id = EndpointId("engine-$number")
+        val unbound = EndpointDescription(id, EndpointKind.Engine, dataCentre, "$HOST:0")
+        val engine = EngineStandIn(EngineStandInSettings(unbound)).also { owned.addFirst(it) }
+        list(unbound.copy(address = engine.start(HOST, 0).address))
+        return engine
+    }
+
+    private fun list(endpoint: EndpointDescription) =
+        platform.endpoints.set(endpoint.id, ListedEndpoint(endpoint, ListedState.LIVE))
+
+    private fun configure() {
+        val organisation = Organisation(OrganisationId("theatre"), "Theatre", TokenRate(1_000_000, 1_000_000))
+        val apiKey = ApiKey(KeyId("k1"), organisation.id, hashOf(key))
+        val configuration = Configuration(
+            Revision(1),
+            mapOf(organisation.id to organisation),
+            mapOf(apiKey.hash to apiKey),
+            mapOf(service to Service(service, notRepeatable = listOf(CallPattern("POST", "/confirm")))),
+        )
+        val text = Json.encodeToString(Configuration.serializer(), configuration)
+        platform.objects.write(CONFIGURATION_OBJECT, text, WriteCondition.Absent)
+    }
+
+    private fun settings(platformAddress: String) = SettingsLoader().parse(
+        "test",
+        """
+        instance: { id: entry-1, dataCentre: rennes }
+        callers: { address: "$HOST:0", maximumBodyBytes: 100000 }
+        inner: { address: "$HOST:0" }
+        platform: { address: "$platformAddress" }
+        traces: { exporter: log }
+        """.trimIndent(),
+    ).fold({ error(it) }, { it })
+
+    companion object {
+        private const val HOST = "127.0.0.1"
+
+        /** Waits until [condition] holds. */
+        suspend fun awaitTrue(condition: suspend () -> Boolean) = withTimeout(60.seconds) {
+            while (!condition()) delay(20)
+        }
+    }
+}
--- a/stand-ins/src/main/kotlin/org/nutmegspring/standin/engine/EngineServer.kt
+++ b/stand-ins/src/main/kotlin/org/nutmegspring/standin/engine/EngineServer.kt
@@ -1,6 +1,7 @@
 package org.nutmegspring.standin.engine
 
 import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.request.header
@@ -87,6 +88,7 @@
 
     suspend fun serve() {
         call.response.header(EngineProtocol.REQUEST_ID_HEADER, id)
+        if (call.request.header(HttpHeaders.Authorization) != null) engine.noteCredentials()
         val request = engineJson.decodeFromString(EngineRequest.serializer(), call.receiveText())
         if (!engine.available) return call.respond(HttpStatusCode.ServiceUnavailable, "changing")
         if (request.model != engine.state().target.model.value) return call.respond(HttpStatusCode.NotFound)
--- a/stand-ins/src/main/kotlin/org/nutmegspring/standin/engine/EngineStandIn.kt
+++ b/stand-ins/src/main/kotlin/org/nutmegspring/standin/engine/EngineStandIn.kt
@@ -51,8 +51,12 @@
     private val batch = EngineBatch(settings.cost, cache, settings.maximumStreams)
     private val orders = EngineOrders(settings.target, settings.description.fencing, settings.changeTime)
     private val startedRequests = AtomicLong()
+    private val credentials = AtomicLong()
     private var server: StandInServer? = null
 
+    /** How many requests carried an `Authorization` header. */
+    val credentialsSeen: Long get() = credentials.get()
+
     /** How many requests have started. */
     val started: Long get() = startedRequests.get()
 
@@ -83,6 +87,11 @@
     /** Accepts [order] and returns whether it was accepted. A change of the target drops the running requests. */
     fun order(order: EngineOrder): Boolean = orders.accept(order, scope) { batch.cut() }
 
+    /** Counts a request that carried an `Authorization` header. */
+    internal fun noteCredentials() {
+        credentials.incrementAndGet()
+    }
+
     /** Starts a request that has [alreadySent] of its tokens. */
     fun begin(id: String, priority: Int, prompt: String, maximumTokens: Long, alreadySent: Long): EngineJob {
         startedRequests.incrementAndGet()
--- a/stand-ins/src/main/kotlin/org/nutmegspring/standin/service/ServiceStandIn.kt
+++ b/stand-ins/src/main/kotlin/org/nutmegspring/standin/service/ServiceStandIn.kt
@@ -1,6 +1,7 @@
 package org.nutmegspring.standin.service
 
 import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.request.header
 import io.ktor.server.request.httpMethod
@@ -32,11 +33,15 @@
 /** A small plain service that counts its executions by idempotency key, so that a repeat shows. */
 class ServiceStandIn(private val name: String) {
     private val executions = AtomicLong()
+    private val credentials = AtomicLong()
     private val executionsByKey = ConcurrentHashMap<String, AtomicLong>()
 
     /** How many calls have run. */
     val executed: Long get() = executions.get()
 
+    /** How many calls carried an `Authorization` header. */
+    val credentialsSeen: Long get() = credentials.get()
+
     /** Returns how many calls with the idempotency key [key] have run. */
     fun executed(key: String): Long = executionsByKey[key]?.get() ?: 0
 
@@ -53,6 +58,7 @@
 
     private suspend fun ApplicationCall.execute() {
         val body = receiveText()
+        if (request.header(HttpHeaders.Authorization) != null) credentials.incrementAndGet()
         val execution = executions.incrementAndGet()
         request.header("Idempotency-Key")?.let { key ->
             executionsByKey.computeIfAbsent(key) { AtomicLong() }.incrementAndGet()
