List the measures that exist

Cause: the merge with the other concerns named measures that are not there yet. Seen: the build failed and now passes. Conclusion: none beyond it.

--- a/measure/src/main/kotlin/org/nutmegspring/measure/MeasureProvider.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/MeasureProvider.kt
@@ -1,18 +1,16 @@
 package org.nutmegspring.measure
 
+import org.nutmegspring.measure.confirmations.ConfirmationsMeasure
 import org.nutmegspring.measure.fault.FaultsMeasure
-import org.nutmegspring.measure.limits.LimitsMeasure
-import org.nutmegspring.measure.routing.AdmissionMeasure
 import org.nutmegspring.measure.routing.RoutingMeasure
 
 /** Lists the measures. */
 class MeasureProvider {
     /** All measures in the order in which the help text lists them. */
     val measures: List<Measure> = listOf(
-        FaultsMeasure(),
-        LimitsMeasure(),
         RoutingMeasure(),
-        AdmissionMeasure(),
+        ConfirmationsMeasure(),
+        FaultsMeasure(),
     )
 
     /** Returns the measure called [name], or null when there is none. */
