--- a/command-line/src/main/kotlin/org/nutmegspring/commandline/standin/StandInCommand.kt
+++ b/command-line/src/main/kotlin/org/nutmegspring/commandline/standin/StandInCommand.kt
@@ -4,7 +4,6 @@
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
 import kotlinx.cli.default
-import kotlinx.cli.required
 import kotlinx.coroutines.runBlocking
 import org.nutmegspring.commandline.CommandContext
 import org.nutmegspring.commandline.ExitCode
@@ -18,13 +17,19 @@
 import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.identity.ModelId
 import org.nutmegspring.identity.ServiceId
+import org.nutmegspring.node.settings.Settings
+import org.nutmegspring.node.settings.SettingsLoader
 import org.nutmegspring.platform.ListedEndpoint
+import org.nutmegspring.platform.ListedInstance
 import org.nutmegspring.platform.ListedState
 import org.nutmegspring.standin.engine.EngineStandIn
 import org.nutmegspring.standin.engine.EngineStandInSettings
 import org.nutmegspring.standin.platform.PlatformStandIn
 import org.nutmegspring.standin.platform.registerEndpoint
+import org.nutmegspring.standin.platform.registerInstance
 import org.nutmegspring.standin.service.ServiceStandIn
+import java.io.File
+import java.io.IOException
 import java.net.BindException
 
 /** The kinds of stand-in. */
@@ -37,15 +42,19 @@
 
     /** A plain service. */
     SERVICE,
+
+    /** The entry of an instance in the list of a platform stand-in. */
+    LISTING,
 }
 
 /** Runs one stand-in of an outside system. */
 @OptIn(ExperimentalCli::class)
 class StandInCommand(private val context: CommandContext) :
-    Subcommand("stand-in", "Runs a stand-in of an outside system: platform, engine or service") {
+    Subcommand("stand-in", "Runs a stand-in of an outside system: platform, engine, service or listing") {
     private val kind by argument(ArgType.Choice<StandInKind>({ kindOf(it) }, { it.name.lowercase() }), "KIND")
-    private val address by option(ArgType.String, "address", description = "IP number and port").required()
+    private val address by option(ArgType.String, "address", description = "IP number and port of the stand-in")
     private val platform by option(ArgType.String, "platform", description = "Platform that lists the endpoint")
+    private val settings by option(ArgType.String, "settings", description = "Settings file of a listed instance")
     private val id by option(ArgType.String, "id", description = "Id of the endpoint").default("endpoint-1")
     private val dataCentre by option(ArgType.String, "data-centre", description = "Data centre").default("rennes")
     private val model by option(ArgType.String, "model", description = "Model of an engine").default("ledger-small")
@@ -56,14 +65,40 @@
         description = "The engine accepts orders with old fencing numbers",
     ).default(false)
 
-    override fun execute() {
-        val host = address.substringBeforeLast(':')
-        val port = address.substringAfterLast(':').toIntOrNull()
-            ?: return context.fail("the address '$address' has no port", ExitCode.USAGE)
+    override fun execute() = if (kind == StandInKind.LISTING) listInstance() else serve()
+
+    private fun serve() {
+        val given = address ?: return context.fail("--address is missing", ExitCode.USAGE)
+        val port = given.substringAfterLast(':').toIntOrNull()
+            ?: return context.fail("the address '$given' has no port", ExitCode.USAGE)
         try {
-            start(host, port)
+            start(given.substringBeforeLast(':'), port)
         } catch (taken: BindException) {
-            context.fail("cannot listen at $address: ${taken.message}")
+            context.fail("cannot listen at $given: ${taken.message}")
+        }
+    }
+
+    private fun listInstance() {
+        val file = settings ?: return context.fail("--settings is missing", ExitCode.USAGE)
+        SettingsLoader().load(File(file)).fold(
+            { problems -> problems.forEach { context.fail(it.toString(), ExitCode.USAGE) } },
+            { loaded -> list(loaded) },
+        )
+    }
+
+    private fun list(loaded: Settings) {
+        val instance = ListedInstance(
+            loaded.instance.id,
+            loaded.instance.dataCentre,
+            loaded.callers.address,
+            loaded.inner.address,
+            ListedState.LIVE,
+        )
+        try {
+            runBlocking { registerInstance(loaded.platform.address, instance) }
+            context.out.println("listed ${instance.id} at ${loaded.platform.address}")
+        } catch (unreachable: IOException) {
+            context.fail("the platform at ${loaded.platform.address} does not answer: ${unreachable.message}")
         }
     }
 
@@ -71,6 +106,7 @@
         StandInKind.PLATFORM -> run(PlatformStandIn().start(host, port).address)
         StandInKind.ENGINE -> startEngine(host, port)
         StandInKind.SERVICE -> startService(host, port)
+        StandInKind.LISTING -> Unit
     }
 
     private fun startEngine(host: String, port: Int) {
@@ -89,7 +125,7 @@
     }
 
     private fun description(kind: EndpointKind) =
-        EndpointDescription(EndpointId(id), kind, DataCentreId(dataCentre), address)
+        EndpointDescription(EndpointId(id), kind, DataCentreId(dataCentre), address.orEmpty())
 
     private fun register(description: EndpointDescription) {
         val listing = platform ?: return
