Tell callers which instances to use, and stop an instance without a cut

GET /v1/instances names up to three ready instances by free capacity and data centre, drawn anew for each answer. A planned stop tells the other instances first, serves for as long as callers may keep older answers, then refuses with the addresses of others, and ends after the last request and the last stored outcome. An instance is named only while its configuration is current.

--- a/command-line/src/main/kotlin/org/nutmegspring/commandline/ServeCommand.kt
+++ b/command-line/src/main/kotlin/org/nutmegspring/commandline/ServeCommand.kt
@@ -4,6 +4,7 @@
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
 import kotlinx.cli.required
+import kotlinx.coroutines.runBlocking
 import org.nutmegspring.node.instance.startInstance
 import org.nutmegspring.node.observe.configureLogs
 import org.nutmegspring.node.settings.SettingsLoader
@@ -21,7 +22,10 @@
             configureLogs(loaded.logs)
             try {
                 val instance = startInstance(loaded)
-                waitForStop { instance.close() }
+                waitForStop {
+                    runBlocking { instance.drain() }
+                    instance.close()
+                }
             } catch (taken: BindException) {
                 context.fail("cannot listen at ${loaded.callers.address}: ${taken.message}")
             }
--- a/command-line/src/main/kotlin/org/nutmegspring/commandline/demo/DemoFleet.kt
+++ b/command-line/src/main/kotlin/org/nutmegspring/commandline/demo/DemoFleet.kt
@@ -23,6 +23,7 @@
 import org.nutmegspring.node.settings.Settings
 import org.nutmegspring.node.settings.SettingsLoader
 import org.nutmegspring.platform.ListedEndpoint
+import org.nutmegspring.platform.ListedInstance
 import org.nutmegspring.platform.ListedState
 import org.nutmegspring.platform.WriteCondition
 import org.nutmegspring.standin.engine.EngineStandIn
@@ -47,7 +48,10 @@
         startService()
         configure()
         instances = (1..INSTANCES).map { number ->
-            startInstance(settings(number, platformAddress)).also { owned.addFirst(it) }
+            startInstance(settings(number, platformAddress)).also {
+                owned.addFirst(it)
+                list(it, number)
+            }
         }
     }
 
@@ -69,6 +73,22 @@
     private fun list(endpoint: EndpointDescription) =
         platform.endpoints.set(endpoint.id, ListedEndpoint(endpoint, ListedState.LIVE))
 
+    private fun list(instance: Instance, number: Int) {
+        val id = instanceId(number)
+        val listed = ListedInstance(
+            id,
+            dataCentreOf(number),
+            instance.callerAddress,
+            instance.innerAddress,
+            ListedState.LIVE,
+        )
+        platform.instances.set(id, listed)
+    }
+
+    private fun instanceId(number: Int) = InstanceId("entry-$number")
+
+    private fun dataCentreOf(number: Int) = DATA_CENTRES[number % DATA_CENTRES.size]
+
     private fun configure() {
         val organisations = listOf("theatre", "festival").map { name ->
             Organisation(OrganisationId(name), name, TokenRate(tokensPerSecond = 2_000, burstTokens = 10_000))
@@ -86,8 +106,8 @@
     }
 
     private fun settings(number: Int, platformAddress: String): Settings {
-        val id = InstanceId("entry-$number")
-        val dataCentre = DATA_CENTRES[number % DATA_CENTRES.size]
+        val id = instanceId(number)
+        val dataCentre = dataCentreOf(number)
         val text = """
             instance: { id: $id, dataCentre: $dataCentre }
             callers: { address: "$HOST:0" }
--- a/node/src/main/kotlin/org/nutmegspring/node/entry/ApiError.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/entry/ApiError.kt
@@ -13,6 +13,7 @@
  *
  * @property code a stable name of the error
  * @property effect whether the request can have run
+ * @property instances addresses of instances to which the caller should go instead
  */
 data class ApiError(
     val status: HttpStatusCode,
@@ -21,13 +22,19 @@
     val effect: Effect = Effect.NOT_RUN,
     val parameter: String? = null,
     val retryAfter: Duration? = null,
+    val instances: List<String> = emptyList(),
 )
 
 /** The body of an error in the usual form. */
 @Serializable
 data class ErrorBody(val error: ErrorDetail)
 
-/** The fields of an error in the usual form, and [outcome]: `not_run` or `unknown`. */
+/**
+ * The fields of an error in the usual form.
+ *
+ * @property outcome `not_run` or `unknown`
+ * @property instances addresses to use instead
+ */
 @Serializable
 data class ErrorDetail(
     val message: String,
@@ -35,6 +42,7 @@
     val code: String,
     @SerialName("param") val parameter: String?,
     val outcome: String,
+    val instances: List<String>,
 )
 
 /** Returns the body that callers see for this error. */
@@ -49,7 +57,7 @@
         Effect.NOT_RUN -> "not_run"
         Effect.UNKNOWN -> "unknown"
     }
-    return ErrorBody(ErrorDetail(message, type, code, parameter, outcome))
+    return ErrorBody(ErrorDetail(message, type, code, parameter, outcome, instances))
 }
 
 /** Returns the error for a request that is not valid. */
--- a/node/src/main/kotlin/org/nutmegspring/node/entry/EntryServer.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/entry/EntryServer.kt
@@ -34,8 +34,12 @@
 import org.nutmegspring.identity.RequestId
 import org.nutmegspring.identity.ServiceId
 import org.nutmegspring.node.configuration.ConfigurationView
+import org.nutmegspring.node.membership.Entrance
+import org.nutmegspring.node.membership.InstanceDirectory
+import org.nutmegspring.node.membership.RequestGate
 import org.nutmegspring.node.observe.Telemetry
 import org.nutmegspring.node.routing.EndpointChooser
+import kotlin.time.Duration.Companion.seconds
 
 private val logger = KotlinLogging.logger("org.nutmegspring.node.entry")
 
@@ -48,6 +52,8 @@
     val chooser: EndpointChooser,
     val telemetry: Telemetry,
     val epochSeconds: () -> Long,
+    val gate: RequestGate,
+    val directory: InstanceDirectory,
     val extraRoutes: List<Route.() -> Unit> = emptyList(),
 )
 
@@ -130,7 +136,7 @@
         val sample = Timer.start(parts.telemetry.meters)
         val span = startSpan(call, route, id)
         try {
-            withContext(Context.current().with(span).asContextElement()) { serve(id) }
+            withContext(Context.current().with(span).asContextElement()) { enter(call) { serve(id) } }
         } catch (cancelled: CancellationException) {
             span.addEvent("cancelled")
             throw cancelled
@@ -144,6 +150,28 @@
         }
     }
 
+    private suspend fun enter(call: ApplicationCall, serve: suspend () -> Unit) {
+        when (parts.gate.enter()) {
+            Entrance.OPEN -> try {
+                serve()
+            } finally {
+                parts.gate.leave()
+            }
+
+            Entrance.STOPPING -> call.respondError(elsewhere("instance_stopping", "this instance is about to stop"))
+
+            Entrance.FULL -> call.respondError(elsewhere("instance_full", "this instance is full"))
+        }
+    }
+
+    private fun elsewhere(code: String, message: String) = ApiError(
+        HttpStatusCode.ServiceUnavailable,
+        code,
+        "$message, use another one",
+        retryAfter = 1.seconds,
+        instances = parts.directory.others().map { it.address },
+    )
+
     private fun startSpan(call: ApplicationCall, route: String, id: RequestId): Span {
         val parent = parts.telemetry.propagators.textMapPropagator.extract(Context.root(), call, HeaderGetter)
         return parts.telemetry.tracer.spanBuilder("entry").setSpanKind(SpanKind.SERVER).setParent(parent)
--- a/node/src/main/kotlin/org/nutmegspring/node/execution/ClaimedExecution.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/execution/ClaimedExecution.kt
@@ -16,6 +16,7 @@
 import org.nutmegspring.platform.WriteCondition
 import org.nutmegspring.protocol.ClaimStatus
 import org.nutmegspring.time.MonotonicClock
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -49,6 +50,11 @@
     private val scope: CoroutineScope,
     private val bounds: ClaimBounds = ClaimBounds(),
 ) {
+    private val storing = AtomicInteger()
+
+    /** How many outcomes are being stored. */
+    val pendingWrites: Int get() = storing.get()
+
     /** Claims [call] for [run], runs it when the claim is its own, and otherwise finds out how it stands. */
     suspend fun run(call: KeyedCall, run: Run): RunOutcome {
         val claimant = Claimant(instance, incarnation, run.sequence)
@@ -95,20 +101,25 @@
         return attempts.run(call.work, call.request, permission).fold(
             { failure ->
                 if (failure.effect == Effect.NOT_RUN) {
-                    scope.launch { claims.release(key, version) }
+                    store { claims.release(key, version) }
                     RunOutcome.NotRun(failure)
                 } else {
-                    scope.launch { claims.finish(key, record, version, ClaimOutcome.Unknown) }
+                    store { claims.finish(key, record, version, ClaimOutcome.Unknown) }
                     RunOutcome.Lost(failure)
                 }
             },
             { answer ->
-                scope.launch { claims.finish(key, record, version, kept(answer)) }
+                store { claims.finish(key, record, version, kept(answer)) }
                 RunOutcome.Ran(answer)
             },
         )
     }
 
+    private fun store(write: suspend () -> Unit) {
+        storing.incrementAndGet()
+        scope.launch { write() }.invokeOnCompletion { storing.decrementAndGet() }
+    }
+
     private fun kept(answer: ServiceAnswer): ClaimOutcome {
         val tooLong = answer.body.size > bounds.keptAnswerBytes
         return if (tooLong) ClaimOutcome.NotKept else ClaimOutcome.Answered(recordedAnswer(answer))
--- a/node/src/main/kotlin/org/nutmegspring/node/execution/KeyedServiceExecution.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/execution/KeyedServiceExecution.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import org.nutmegspring.execution.ClaimId
 import org.nutmegspring.execution.Ticket
 import org.nutmegspring.execution.TicketIssuer
@@ -17,6 +18,7 @@
 import org.nutmegspring.protocol.InnerNetwork
 import org.nutmegspring.time.MonotonicClock
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
@@ -79,8 +81,10 @@
         parts.network.addHandler(ticketed)
     }
 
-    /** How many keyed runs have not ended. */
-    val running: Int get() = claimLedger.running() + ticketLedger.running()
+    /** Waits until no keyed run is left and the outcomes of all are stored or given up. */
+    suspend fun awaitIdle() {
+        while (claimLedger.running() + ticketLedger.running() + claimed.pendingWrites > 0) delay(IDLE_CHECK_INTERVAL)
+    }
 
     /** How many writes and deletions of claims were sent to the store. */
     val storeWrites: Long get() = claimStore.writes
@@ -103,4 +107,8 @@
         val times = RunTimes(acceptUntil = null, keepUntil = parts.clock.now())
         return claimedRuns.run(call.id, call.digest, times) { claimed.run(call, it) }
     }
+
+    private companion object {
+        val IDLE_CHECK_INTERVAL = 20.milliseconds
+    }
 }
--- a/node/src/main/kotlin/org/nutmegspring/node/instance/InnerSide.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/instance/InnerSide.kt
@@ -8,6 +8,9 @@
 import org.nutmegspring.identity.Revision
 import org.nutmegspring.node.configuration.ConfigurationView
 import org.nutmegspring.node.membership.HeartbeatMembership
+import org.nutmegspring.node.membership.InstanceDirectory
+import org.nutmegspring.node.membership.InstanceLife
+import org.nutmegspring.node.membership.RequestGate
 import org.nutmegspring.node.membership.SelfDescription
 import org.nutmegspring.node.membership.SelfStatus
 import org.nutmegspring.node.observe.Telemetry
@@ -19,27 +22,23 @@
 import org.nutmegspring.protocol.innerTransport
 import org.nutmegspring.time.MonotonicClock
 import java.security.SecureRandom
-import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** What of this instance's state is told to others. Concerns set it when they start. */
-class ReportedStatus(private val configuration: ConfigurationView) : SelfStatus {
-    /** How many requests run now. */
-    val running: AtomicInteger = AtomicInteger()
-
+class ReportedStatus(
+    private val configuration: ConfigurationView,
+    private val gate: RequestGate,
+) : SelfStatus {
     /** Reads how long ago the head of the configuration was read from the store. */
     @Volatile
     var storeEvidence: () -> Duration? = { null }
 
-    override fun load(): Double = running.get() / REQUESTS_AT_FULL_LOAD
+    override fun load(): Double = gate.load
 
     override fun revision(): Revision = configuration.configuration.value.revision
 
     override fun storeEvidenceAge(): Duration? = storeEvidence()
-
-    private companion object {
-        const val REQUESTS_AT_FULL_LOAD = 400.0
-    }
 }
 
 /** The side of an instance that other instances reach. */
@@ -48,6 +47,9 @@
     val transport: InnerTransport,
     val membership: HeartbeatMembership,
     val status: ReportedStatus,
+    val gate: RequestGate,
+    val directory: InstanceDirectory,
+    val life: InstanceLife,
     /** The address for other instances, `host:port`. */
     val address: String,
 ) : AutoCloseable {
@@ -55,6 +57,7 @@
     fun start(callerAddress: String, scope: CoroutineScope) {
         membership.listensAt(callerAddress, address)
         membership.start(transport, scope)
+        life.start(scope)
     }
 
     override fun close() = transport.close()
@@ -69,7 +72,8 @@
     clock: MonotonicClock,
 ): InnerSide {
     val incarnation = Incarnation(SecureRandom().nextLong())
-    val status = ReportedStatus(configuration)
+    val gate = RequestGate()
+    val status = ReportedStatus(configuration, gate)
     val description = SelfDescription(
         settings.instance.id,
         incarnation,
@@ -84,7 +88,10 @@
     val transport = innerTransport(options, telemetry.tracer, clock)
     val port = runBlocking { transport.start() }
     bindCounters(telemetry.meters, transport.counters)
-    return InnerSide(incarnation, transport, membership, status, "$host:$port")
+    val addressLifetime = settings.callers.addressLifetimeSeconds.seconds
+    val directory = InstanceDirectory(membership, addressLifetime)
+    val life = InstanceLife(membership, transport, configuration, gate, addressLifetime)
+    return InnerSide(incarnation, transport, membership, status, gate, directory, life, "$host:$port")
 }
 
 private fun bindCounters(meters: MeterRegistry, counters: TransportCounters) {
--- a/node/src/main/kotlin/org/nutmegspring/node/instance/Instance.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/instance/Instance.kt
@@ -49,6 +49,9 @@
     /** The address for other instances, `host:port`. */
     val innerAddress: String get() = inner.address
 
+    /** Carries out a planned stop up to the point at which [close] cuts nothing. */
+    suspend fun drain() = inner.life.drain()
+
     override fun close() {
         entry.close()
         owned.forEach { it.close() }
@@ -101,6 +104,10 @@
         ),
     )
 
+    init {
+        inner.life.onRelease { services.awaitIdle() }
+    }
+
     private val admission = Admission(configuration, settings.callers)
     private val reader = CompletionRequestReader(settings.generation)
     private val completions = CompletionHandler(
@@ -117,7 +124,9 @@
             chooser,
             telemetry,
             epochSeconds,
-            listOf { tickets.addTo(this) },
+            inner.gate,
+            inner.directory,
+            listOf({ tickets.addTo(this) }, { inner.directory.addTo(this) }),
         ),
     )
 }
--- a/node/src/main/kotlin/org/nutmegspring/node/membership/HeartbeatMembership.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/membership/HeartbeatMembership.kt
@@ -127,6 +127,18 @@
 
     override fun innerAddress(instance: InstanceId): String? = synchronized(lock) { table.innerAddress(instance) }
 
+    /** Changes to [next] unless this instance drains, which it does until it ends. */
+    @Synchronized
+    fun follow(next: InstancePhase) {
+        if (phase != InstancePhase.DRAINING) phase = next
+    }
+
+    /** Changes to draining for good. */
+    @Synchronized
+    fun drain() {
+        phase = InstancePhase.DRAINING
+    }
+
     /** Sets the addresses at which this instance listens. */
     fun listensAt(callerAddress: String, innerAddress: String) {
         description = description.copy(callerAddress = callerAddress, innerAddress = innerAddress)
