--- a/decisions/src/main/kotlin/org/nutmegspring/routing/EndpointTable.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/routing/EndpointTable.kt
@@ -55,7 +55,8 @@
     /** Applies [report], received at [now] and about as old as [lag]. A report that came before is ignored. */
     fun reported(report: LoadReport, now: MonotonicTime, lag: Duration) {
         val known = endpoints[report.engine] ?: return
-        known.unreachableReports = 0
+        known.unreadReports = 0
+        view(known)?.unreachable = false
         if (!known.accepts(report)) return
         if (known.model != report.target.model) {
             known.model?.let { models[it]?.fleet?.remove(report.engine) }
@@ -66,10 +67,11 @@
         fleet.apply(report, now, lag)
     }
 
-    /** Tells that the load of the engine [id] could not be read at [now]. */
-    fun unreported(id: EndpointId, now: MonotonicTime) {
+    /** Tells that the load of the engine [id] could not be read. After a second time in a row it gets no work. */
+    fun unreported(id: EndpointId) {
         val known = endpoints[id] ?: return
-        if (++known.unreachableReports >= UNREACHABLE_REPORTS) known.health.failed(now)
+        known.unreadReports++
+        view(known)?.unreachable = known.unreachable
     }
 
     /** Chooses an engine of [model] for [demand] that is not in [exclude], or returns null when there is none. */
@@ -119,7 +121,7 @@
     /** Returns how many endpoints are known, left out because they fail, and departing. */
     fun counts(now: MonotonicTime): EndpointCounts = EndpointCounts(
         known = endpoints.size,
-        failing = endpoints.values.count { !it.health.permits(now) },
+        failing = endpoints.values.count { it.unreachable || !it.health.permits(now) },
         departing = endpoints.values.count { it.departing },
     )
 
@@ -150,7 +152,8 @@
         var departing = false
         var model: ModelId? = null
         var running = 0
-        var unreachableReports = 0
+        var unreadReports = 0
+        val unreachable: Boolean get() = unreadReports >= UNREAD_REPORTS
         private var lastSequence = -1L
         private var repeats = 0
 
@@ -166,7 +169,7 @@
     }
 
     private companion object {
-        const val UNREACHABLE_REPORTS = 2
+        const val UNREAD_REPORTS = 2
         const val REPORTS_OF_RESTART = 3
     }
 }
--- a/decisions/src/main/kotlin/org/nutmegspring/routing/EngineView.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/routing/EngineView.kt
@@ -26,6 +26,9 @@
     /** Whether the engine is about to stop. */
     var departing: Boolean = false
 
+    /** Whether the engine's reports cannot be read. */
+    var unreachable: Boolean = false
+
     /** The role that the engine last reported. */
     var role: EngineRole = EngineRole.MIXED
         private set
@@ -44,7 +47,9 @@
 
     /** Whether the engine takes new work at [now]. */
     fun accepts(now: MonotonicTime, exclusion: Exclusion): Boolean =
-        !changing && !departing && id !in exclusion.engines && (!exclusion.failing || health.permits(now))
+        !changing && !departing && id !in exclusion.engines && !(exclusion.failing && fails(now))
+
+    private fun fails(now: MonotonicTime): Boolean = unreachable || !health.permits(now)
 
     /** Replaces the known load by [report], which describes the engine as it was at [measured]. */
     internal fun apply(report: LoadReport, measured: MonotonicTime) {
--- a/node/src/main/kotlin/org/nutmegspring/node/instance/Instance.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/instance/Instance.kt
@@ -7,7 +7,6 @@
 import kotlinx.coroutines.cancel
 import org.nutmegspring.execution.AttemptPolicy
 import org.nutmegspring.execution.RetryBudget
-import org.nutmegspring.identity.ModelId
 import org.nutmegspring.node.configuration.PolledConfigurationView
 import org.nutmegspring.node.engine.EngineClient
 import org.nutmegspring.node.engine.ServiceClient
@@ -28,7 +27,11 @@
 import org.nutmegspring.node.execution.TicketRoutes
 import org.nutmegspring.node.limits.UnlimitedRateLimiter
 import org.nutmegspring.node.observe.telemetry
-import org.nutmegspring.node.routing.FewestRequestsChooser
+import org.nutmegspring.node.routing.ChooserIntervals
+import org.nutmegspring.node.routing.ChooserSources
+import org.nutmegspring.node.routing.HttpLoadReports
+import org.nutmegspring.node.routing.LoadAwareChooser
+import org.nutmegspring.node.routing.MembershipRoutingPeers
 import org.nutmegspring.node.settings.Settings
 import org.nutmegspring.platform.http.httpPlatform
 import org.nutmegspring.time.systemMonotonicClock
@@ -83,9 +86,17 @@
     private val configuration = PolledConfigurationView(platform, epochSeconds).also { it.start(scope) }
     val inner = innerSide(settings, configuration, platform, telemetry, clock)
 
-    private val listInterval = settings.endpoints.listIntervalMilliseconds.milliseconds
-    private val chooser =
-        FewestRequestsChooser(platform, listInterval, ModelId("ledger-small")).also { it.start(scope) }
+    private val chooser = LoadAwareChooser(
+        ChooserSources(
+            settings.instance.dataCentre,
+            platform,
+            HttpLoadReports(client),
+            MembershipRoutingPeers(inner.membership),
+            clock,
+        ) { configuration.configuration.value.organisations[it]?.weight ?: 1 },
+        ChooserIntervals(list = settings.endpoints.listIntervalMilliseconds.milliseconds),
+        telemetry.meters,
+    ).also { it.start(scope) }
     private val limiter = UnlimitedRateLimiter()
 
     private val attemptPolicy = AttemptPolicy(RetryBudget())
