--- a/node/src/main/kotlin/org/nutmegspring/node/routing/LoadAwareChooser.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/routing/LoadAwareChooser.kt
@@ -6,10 +6,12 @@
 import arrow.core.right
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.micrometer.core.instrument.MeterRegistry
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import org.nutmegspring.endpoint.EndpointDescription
 import org.nutmegspring.failure.Effect
 import org.nutmegspring.failure.Failure
@@ -91,6 +93,7 @@
     private val metrics = RoutingMetrics(meters) { synchronized(lock) { table.counts(clock.now()) } }
     private val reading = HashSet<EndpointId>()
     private val wake = Channel<Unit>(Channel.CONFLATED)
+    private val firstReport = CompletableDeferred<Unit>()
 
     /** Starts reading the platform's list and the engines' reports in [scope]. */
     fun start(scope: CoroutineScope) {
@@ -99,6 +102,11 @@
         scope.launch { keepServing() }
     }
 
+    /** Waits until some engine has reported, and at most [timeout]. */
+    suspend fun awaitFirstReport(timeout: Duration) {
+        withTimeoutOrNull(timeout) { firstReport.await() }
+    }
+
     override fun models(): Set<ModelId> = synchronized(lock) { table.models() }
 
     override suspend fun choose(work: Work, exclude: Set<EndpointId>): Either<Failure, ChosenEndpoint> = when (work) {
@@ -171,6 +179,7 @@
                 val now = clock.now()
                 report.fold({ table.unreported(engine.id) }, { table.reported(it, now, intervals.reportLag) })
             }
+            if (report.isRight()) firstReport.complete(Unit)
         } finally {
             synchronized(lock) { reading.remove(engine.id) }
         }
