--- a/node/src/main/kotlin/org/nutmegspring/node/instance/Instance.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/instance/Instance.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.runBlocking
 import org.nutmegspring.execution.AttemptPolicy
 import org.nutmegspring.execution.RetryBudget
 import org.nutmegspring.node.configuration.PolledConfigurationView
@@ -37,6 +38,7 @@
 import org.nutmegspring.time.systemMonotonicClock
 import java.security.SecureRandom
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 private val logger = KotlinLogging.logger {}
 
@@ -64,6 +66,7 @@
 /** Starts an instance with [settings]. */
 fun startInstance(settings: Settings): Instance {
     val parts = InstanceParts(settings)
+    runBlocking { parts.chooser.awaitFirstReport(FIRST_REPORT_TIMEOUT) }
     val entry = parts.entry.start(hostOf(settings.callers.address), portOf(settings.callers.address))
     parts.inner.start(entry.address, parts.scope)
     logger.atInfo {
@@ -86,7 +89,7 @@
     private val configuration = PolledConfigurationView(platform, epochSeconds).also { it.start(scope) }
     val inner = innerSide(settings, configuration, platform, telemetry, clock)
 
-    private val chooser = LoadAwareChooser(
+    val chooser = LoadAwareChooser(
         ChooserSources(
             settings.instance.dataCentre,
             platform,
@@ -142,6 +145,7 @@
     )
 }
 
+private val FIRST_REPORT_TIMEOUT = 3.seconds
 private const val MILLISECONDS_PER_SECOND = 1_000L
 private const val TICKET_SECRET_BYTES = 32
 
