Count usage where it runs and tell each window once

Batches are numbered per process, kept by a second instance, and named by the window that takes them in; windows form a chain of objects that are created if absent, so each batch is in at most one window whoever makes it.

--- a/decisions/src/main/kotlin/org/nutmegspring/invariant/Invariant.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/invariant/Invariant.kt
@@ -23,6 +23,12 @@
     /** Usage windows. */
     ONE_REPORTER("a usage window is reported by one holder at a time"),
 
+    /** Usage. */
+    USAGE_COUNTED_ONCE("usage is in at most one window, as it was counted"),
+
+    /** Usage. */
+    USAGE_COMPLETE("usage of an instance that runs is in a window in the end"),
+
     /** Rate limits. */
     RATE_CEILING("an organisation receives at most its rate and burst over all instances"),
 
--- a/decisions/src/main/kotlin/org/nutmegspring/order/EngineOrderRules.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/order/EngineOrderRules.kt
@@ -7,6 +7,7 @@
 import org.nutmegspring.identity.FencingNumber
 import org.nutmegspring.lease.HeldLease
 import org.nutmegspring.lease.LeaseTiming
+import org.nutmegspring.lease.SendLimit
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration
 
@@ -41,13 +42,15 @@
  * Decides about orders to one engine at a time.
  *
  * An order is sent on a connection on which the engine has just told its state. The engine closes a connection on
- * which the next request is not complete within [requestLimit] after the last answer. The order is sent only while
+ * which the next request is not complete within its request limit after the last answer. The order is sent only while
  * the lease still outlasts that limit, so bytes that a paused process sends later meet a closed connection.
  */
 open class EngineOrderRules(
-    private val timing: LeaseTiming,
-    val requestLimit: Duration,
+    timing: LeaseTiming,
+    requestLimit: Duration,
 ) {
+    private val sendLimit = SendLimit(timing, requestLimit)
+
     /** Returns what to record so that [engine] is ordered to [target] by the holder of [fencing]. */
     open fun intent(
         engine: EndpointId,
@@ -82,16 +85,10 @@
         fencing: FencingNumber,
         answeredAt: MonotonicTime,
         quietUntil: MonotonicTime,
-    ): Boolean {
-        val deadline = closedAfter(answeredAt)
-        return held != null && held.fencing == fencing && held.validUntil > deadline && quietUntil > deadline
-    }
+    ): Boolean = sendLimit.isCovered(held, fencing, answeredAt) && quietUntil > sendLimit.closedAfter(answeredAt)
 
     /** When the next order may follow one that got no answer on a connection that was answered at [answeredAt]. */
-    open fun deadlineAfter(answeredAt: MonotonicTime): MonotonicTime = closedAfter(answeredAt)
-
-    /** The time after which nothing sent on a connection that was answered at [answeredAt] reaches the engine. */
-    private fun closedAfter(answeredAt: MonotonicTime): MonotonicTime = answeredAt + timing.outlasting(requestLimit)
+    open fun deadlineAfter(answeredAt: MonotonicTime): MonotonicTime = sendLimit.closedAfter(answeredAt)
 
     private fun record(
         engine: EndpointId,
--- a/measure/src/main/kotlin/org/nutmegspring/measure/MeasureProvider.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/MeasureProvider.kt
@@ -3,6 +3,7 @@
 import org.nutmegspring.measure.confirmations.ConfirmationsMeasure
 import org.nutmegspring.measure.fault.FaultsMeasure
 import org.nutmegspring.measure.routing.RoutingMeasure
+import org.nutmegspring.measure.usage.UsageMeasure
 
 /** Lists the measures. */
 class MeasureProvider {
@@ -11,6 +12,7 @@
         RoutingMeasure(),
         ConfirmationsMeasure(),
         FaultsMeasure(),
+        UsageMeasure(),
     )
 
     /** Returns the measure called [name], or null when there is none. */
--- a/measure/src/main/kotlin/org/nutmegspring/measure/fault/FaultScenarioProvider.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/fault/FaultScenarioProvider.kt
@@ -4,6 +4,7 @@
 import org.nutmegspring.measure.confirmations.ExecutionScenario
 import org.nutmegspring.measure.lease.ControlScenario
 import org.nutmegspring.measure.limits.LimitScenario
+import org.nutmegspring.measure.usage.UsageScenario
 
 /** Lists the randomised runs. */
 class FaultScenarioProvider {
@@ -13,5 +14,6 @@
         ConfigurationScenario(),
         LimitScenario(),
         ExecutionScenario(),
+        UsageScenario(),
     )
 }
--- a/measure/src/main/kotlin/org/nutmegspring/measure/lease/ControlWorld.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/lease/ControlWorld.kt
@@ -1,14 +1,7 @@
 package org.nutmegspring.measure.lease
 
-import org.nutmegspring.invariant.InvariantMonitor
-import org.nutmegspring.invariant.Violation
-import org.nutmegspring.measure.fault.Fault
-import org.nutmegspring.measure.virtual.VirtualSchedule
-import org.nutmegspring.standin.platform.InMemoryObjects
+import org.nutmegspring.measure.virtual.FaultWorld
 import java.util.EnumMap
-import kotlin.random.Random
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
 /** What a randomised run counts, so that it can be seen that it does something. */
 internal enum class ControlCount {
@@ -23,22 +16,7 @@
 }
 
 /** What the processes and endpoints of one randomised run share. */
-internal class ControlWorld(seed: Long) {
-    val random = Random(seed)
-    val schedule = VirtualSchedule()
-    val objects = InMemoryObjects()
-    val injected = EnumMap<Fault, Long>(Fault::class.java)
-
-    /** Folds every accepted order, so that equal runs have equal digests. */
-    var digest: Long = seed
-        private set
-
-    /** The first violation, or null. */
-    var violation: Violation? = null
-        private set
-
-    val monitor = InvariantMonitor(seed) { found -> if (violation == null) violation = found }
-
+internal class ControlWorld(seed: Long) : FaultWorld(seed) {
     /** How often each kind of event was counted. */
     val counts = EnumMap<ControlCount, Long>(ControlCount::class.java)
 
@@ -46,24 +24,4 @@
     fun count(event: ControlCount) {
         counts.merge(event, 1L, Long::plus)
     }
-
-    /** Records an event that depends on the seed alone. */
-    fun record(event: String) {
-        digest = digest * DIGEST_FACTOR + event.hashCode()
-        monitor.record { "${schedule.now().nanoseconds / NANOSECONDS_PER_MILLISECOND} ms $event" }
-    }
-
-    /** Counts an injected fault. */
-    fun inject(fault: Fault, detail: String) {
-        injected.merge(fault, 1L, Long::plus)
-        record("fault $fault $detail")
-    }
-
-    /** Draws a duration between [least] and [most] milliseconds. */
-    fun milliseconds(least: Long, most: Long): Duration = random.nextLong(least, most + 1).milliseconds
-
-    private companion object {
-        const val DIGEST_FACTOR = 31
-        const val NANOSECONDS_PER_MILLISECOND = 1_000_000
-    }
 }
