--- a/decisions/src/main/kotlin/org/nutmegspring/order/EngineOrderRules.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/order/EngineOrderRules.kt
@@ -1,7 +1,7 @@
 package org.nutmegspring.order
 
 import org.nutmegspring.endpoint.EngineOrder
-import org.nutmegspring.endpoint.EngineOrderState
+import org.nutmegspring.endpoint.EngineState
 import org.nutmegspring.endpoint.EngineTarget
 import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.identity.FencingNumber
@@ -69,10 +69,10 @@
     }
 
     /** Returns what follows from [state] for the order [record]. */
-    open fun judge(state: EngineOrderState, record: EngineOrderRecord): EngineJudgement = when {
+    open fun judge(state: EngineState, record: EngineOrderRecord): EngineJudgement = when {
         state.changing -> EngineJudgement.CHANGING
         state.target == record.target -> EngineJudgement.REACHED
-        state.activeRequests > 0 -> EngineJudgement.OCCUPIED
+        state.runningRequests > 0 -> EngineJudgement.OCCUPIED
         else -> EngineJudgement.SENDABLE
     }
 
--- a/decisions/src/test/kotlin/org/nutmegspring/order/EngineOrderRulesSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/order/EngineOrderRulesSpec.kt
@@ -1,8 +1,8 @@
 package org.nutmegspring.order
 
 import org.junit.jupiter.api.Nested
-import org.nutmegspring.endpoint.EngineOrderState
 import org.nutmegspring.endpoint.EngineRole
+import org.nutmegspring.endpoint.EngineState
 import org.nutmegspring.endpoint.EngineTarget
 import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.identity.FencingNumber
@@ -83,7 +83,7 @@
     @Nested
     inner class `given the state of an engine` {
         private fun judge(target: EngineTarget, changing: Boolean, active: Int): EngineJudgement =
-            rules.judge(EngineOrderState(engine, target, changing, active), recorded(4))
+            rules.judge(EngineState(target, changing, 0, FencingNumber(0), active), recorded(4))
 
         @Test
         fun `orders it only when it neither changes nor holds requests`() {
--- a/measure/src/main/kotlin/org/nutmegspring/measure/lease/VirtualEngine.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/lease/VirtualEngine.kt
@@ -4,12 +4,13 @@
 import org.nutmegspring.endpoint.EndpointKind
 import org.nutmegspring.endpoint.EngineOrder
 import org.nutmegspring.endpoint.EngineOrderReply
-import org.nutmegspring.endpoint.EngineOrderState
 import org.nutmegspring.endpoint.EngineRole
+import org.nutmegspring.endpoint.EngineState
 import org.nutmegspring.endpoint.EngineTarget
 import org.nutmegspring.endpoint.FencingSupport
 import org.nutmegspring.identity.DataCentreId
 import org.nutmegspring.identity.EndpointId
+import org.nutmegspring.identity.FencingNumber
 import org.nutmegspring.identity.ModelId
 import org.nutmegspring.invariant.Invariant
 import org.nutmegspring.time.MonotonicTime
@@ -38,7 +39,7 @@
     private val clockRate = ControlRules.clockRate(world.random)
     private var target = INITIAL_TARGET
     private var changing = false
-    private var lastSequence: Long? = null
+    private var lastSequence = 0L
     private var lastAccepted: EngineOrder? = null
     private var greatestFencing = 0L
     private var active = 0
@@ -50,13 +51,17 @@
     /** The time after which the engine closes a connection that it answered now. */
     fun closesAt(): MonotonicTime = world.schedule.now() + requestLimit / clockRate
 
-    fun state(): EngineOrderState =
-        EngineOrderState(description.id, target, changing, active, lastSequence)
+    fun state(): EngineState =
+        EngineState(target, changing, lastSequence, FencingNumber(greatestFencing), active)
 
     /** Takes [order]. [authorised] says whether its sender is in charge at this time. */
     fun accept(order: EngineOrder, authorised: Boolean): EngineOrderReply {
         if (fencing == FencingSupport.CHECKED) {
-            if (order.fencing.value < greatestFencing) return EngineOrderReply.StaleFencing(order.fencing)
+            if (order.fencing.value <
+                greatestFencing
+            ) {
+                return EngineOrderReply.StaleFencing(FencingNumber(greatestFencing))
+            }
             if (changing) return EngineOrderReply.Unready("changing")
         }
         check(order, authorised)
@@ -84,7 +89,7 @@
         starts++
         target = INITIAL_TARGET
         changing = false
-        lastSequence = null
+        lastSequence = 0
         greatestFencing = 0
         active = 0
     }
--- a/measure/src/main/kotlin/org/nutmegspring/measure/lease/VirtualEngineConnection.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/lease/VirtualEngineConnection.kt
@@ -5,7 +5,7 @@
 import arrow.core.right
 import org.nutmegspring.endpoint.EngineOrder
 import org.nutmegspring.endpoint.EngineOrderReply
-import org.nutmegspring.endpoint.EngineOrderState
+import org.nutmegspring.endpoint.EngineState
 import org.nutmegspring.failure.Effect
 import org.nutmegspring.failure.Failure
 import org.nutmegspring.failure.Peer
@@ -32,7 +32,7 @@
     private val start = engine.starts
     private var closesAt: MonotonicTime = engine.closesAt()
 
-    override suspend fun state(): Either<Failure, EngineOrderState> = call { engine.state() }
+    override suspend fun state(): Either<Failure, EngineState> = call { engine.state() }
 
     override suspend fun send(order: EngineOrder): Either<Failure, EngineOrderReply> {
         beforeOrder()
--- a/model/src/main/kotlin/org/nutmegspring/endpoint/EngineOrderState.kt
+++ b/model/src/main/kotlin/org/nutmegspring/endpoint/EngineOrderReply.kt
@@ -1,26 +1,8 @@
 package org.nutmegspring.endpoint
 
 import kotlinx.serialization.Serializable
-import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.identity.FencingNumber
 
-/**
- * What an engine answers when it is asked for its state.
- *
- * @property changing whether it is still carrying out an order; it then starts no request
- * @property activeRequests how many requests it holds, queued ones included
- * @property lastSequence the sequence of the last accepted order, or null when it has accepted none since its start
- */
-@Serializable
-public data class EngineOrderState(
-    public val engine: EndpointId,
-    public val target: EngineTarget,
-    public val changing: Boolean,
-    public val activeRequests: Int,
-    public val lastSequence: Long? = null,
-    public val lastFencing: FencingNumber? = null,
-)
-
 /** What an engine answers to an order. */
 @Serializable
 public sealed interface EngineOrderReply {
--- a/node/src/main/kotlin/org/nutmegspring/node/control/EngineConnections.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/control/EngineConnections.kt
@@ -4,14 +4,14 @@
 import org.nutmegspring.endpoint.EndpointDescription
 import org.nutmegspring.endpoint.EngineOrder
 import org.nutmegspring.endpoint.EngineOrderReply
-import org.nutmegspring.endpoint.EngineOrderState
+import org.nutmegspring.endpoint.EngineState
 import org.nutmegspring.failure.Failure
 import org.nutmegspring.time.MonotonicTime
 
 /** A connection to an engine that carries requests one after the other and is never replaced silently. */
 interface EngineConnection {
     /** Asks the engine for its state. */
-    suspend fun state(): Either<Failure, EngineOrderState>
+    suspend fun state(): Either<Failure, EngineState>
 
     /** Sends [order] with one write on this connection, or fails when the connection was closed. */
     suspend fun send(order: EngineOrder): Either<Failure, EngineOrderReply>
