--- a/measure/src/main/kotlin/org/nutmegspring/measure/usage/UsageScenario.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/usage/UsageScenario.kt
@@ -111,23 +111,7 @@
     private fun injectFault() {
         val instance = fleet.running().random(world.random)
         val span = world.milliseconds(LEAST_FAULT_MILLISECONDS, MOST_FAULT_MILLISECONDS)
-        when (profile.drawn(world.random)) {
-            UsageFault.STORE_DOWN_FOR_ALL -> during(span, Fault.STORE_DOWN, "") { everyStore { unreachable = it } }
-
-            UsageFault.STORE_DOWN_FOR_ONE -> during(span, Fault.STORE_DOWN, "${instance.id}") {
-                fleet.storeFaults(instance.id).unreachable = it
-            }
-
-            UsageFault.STORE_SLOW -> during(span, Fault.STORE_SLOW, "") { everyStore { slow = it } }
-
-            UsageFault.LATE_CALLS -> during(span, Fault.STORE_SLOW, "with late effects") {
-                everyStore { lateness = if (it) LATENESS else 0.0 }
-            }
-
-            UsageFault.LOST_REPLIES -> during(span, Fault.REPLY_LOST, "") {
-                everyStore { replyLoss = if (it) REPLY_LOSS else 0.0 }
-            }
-
+        when (val fault = profile.drawn(world.random)) {
             UsageFault.MESSAGE_DISORDER -> during(span, Fault.MESSAGE_DISORDER, "") {
                 fleet.network.disorder = if (it) DISORDER else 0.0
             }
@@ -143,9 +127,31 @@
             UsageFault.HANDOVER -> handOver(instance, span)
 
             UsageFault.WALL_CLOCK_STEP -> instance.stepWallClock(span - MOST_FAULT_MILLISECONDS.milliseconds / 2)
+
+            else -> injectStoreFault(fault, instance, span)
         }
     }
 
+    private fun injectStoreFault(fault: UsageFault, instance: UsageInstance, span: Duration) = when (fault) {
+        UsageFault.STORE_DOWN_FOR_ALL -> during(span, Fault.STORE_DOWN, "") { everyStore { unreachable = it } }
+
+        UsageFault.STORE_DOWN_FOR_ONE -> during(span, Fault.STORE_DOWN, "${instance.id}") {
+            fleet.storeFaults(instance.id).unreachable = it
+        }
+
+        UsageFault.STORE_SLOW -> during(span, Fault.STORE_SLOW, "") { everyStore { slow = it } }
+
+        UsageFault.LATE_CALLS -> during(span, Fault.STORE_SLOW, "with late effects") {
+            everyStore { lateness = if (it) LATENESS else 0.0 }
+        }
+
+        UsageFault.LOST_REPLIES -> during(span, Fault.REPLY_LOST, "") {
+            everyStore { replyLoss = if (it) REPLY_LOSS else 0.0 }
+        }
+
+        else -> error("$fault is not a fault of the store")
+    }
+
     private fun during(span: Duration, fault: Fault, detail: String, set: (Boolean) -> Unit) {
         world.inject(fault, "$detail for $span")
         set(true)
