Prove at most once and the planned stop over HTTP

Cause: a repeat that arrived at an instance that could not yet reach the claimant was told that the outcome is unknown for good, although the run ended a moment later; the first run of the new test showed it. Such a repeat now reads the record a few times and names when to come back.

--- a/node/src/main/kotlin/org/nutmegspring/node/entry/ApiError.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/entry/ApiError.kt
@@ -83,7 +83,7 @@
     val mayRetry = failure.retryAfter != null
     return when (failure.effect) {
         Effect.NOT_RUN -> if (mayRetry) "claim_unavailable" else "idempotency_key_rejected"
-        Effect.UNKNOWN -> if (mayRetry) "request_in_progress" else "outcome_unknown"
+        Effect.UNKNOWN -> "outcome_unknown"
     }
 }
 
--- a/node/src/main/kotlin/org/nutmegspring/node/execution/ClaimedExecution.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/execution/ClaimedExecution.kt
@@ -1,6 +1,7 @@
 package org.nutmegspring.node.execution
 
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.nutmegspring.execution.ClaimOutcome
 import org.nutmegspring.execution.ClaimRecord
@@ -18,6 +19,7 @@
 import org.nutmegspring.time.MonotonicClock
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -135,20 +137,26 @@
             ClaimStatus.ANSWERED -> reply.answer?.let { RunOutcome.RanElsewhere(serviceAnswer(it)) }
             ClaimStatus.UNKNOWN -> outcomeOf(ClaimOutcome.Unknown)
             ClaimStatus.RUNNING -> RunOutcome.UnknownElsewhere(stillRunning(peerOf(claim.record.claimant)))
-            ClaimStatus.NOT_KNOWN, null -> lastRecord(call, claim)
+            ClaimStatus.NOT_KNOWN -> lastRecord(call, claim, reads = 1, retryAfter = null)
+            null -> lastRecord(call, claim, READS_OF_UNREACHABLE, RETRY_UNREACHABLE)
         }
     }
 
-    /** The claimant does not answer; it may have stored the outcome since the record was read. */
-    private suspend fun lastRecord(call: KeyedCall, claim: ClaimState.Foreign): RunOutcome {
-        val current = claims.read(call.id.objectKey)?.let { decodeClaim(it.value) }
-        val outcome = current?.takeIf { it.claimant == claim.record.claimant }?.outcome
-        return outcome?.let(::outcomeOf) ?: RunOutcome.UnknownElsewhere(
-            outcomeUnknown(
-                peerOf(claim.record.claimant),
-                "the instance that claimed this key does not know its outcome",
-            ),
-        )
+    /** The claimant cannot tell; it may have stored the outcome since the record was read, or do so soon. */
+    private suspend fun lastRecord(
+        call: KeyedCall,
+        claim: ClaimState.Foreign,
+        reads: Int,
+        retryAfter: Duration?,
+    ): RunOutcome {
+        repeat(reads) { read ->
+            if (read > 0) delay(READ_INTERVAL)
+            val current = claims.read(call.id.objectKey)?.let { decodeClaim(it.value) }
+            val outcome = current?.takeIf { it.claimant == claim.record.claimant }?.outcome
+            if (outcome != null) return outcomeOf(outcome)
+        }
+        val reason = "the instance that claimed this key cannot tell its outcome"
+        return RunOutcome.UnknownElsewhere(outcomeUnknown(peerOf(claim.record.claimant), reason, retryAfter))
     }
 
     private fun outcomeOf(outcome: ClaimOutcome): RunOutcome = when (outcome) {
@@ -167,5 +175,8 @@
 
     private companion object {
         const val MAXIMUM_TAKEOVERS = 4
+        const val READS_OF_UNREACHABLE = 4
+        val READ_INTERVAL = 300.milliseconds
+        val RETRY_UNREACHABLE = 2.seconds
     }
 }
--- a/node/src/test/kotlin/org/nutmegspring/node/TestFleet.kt
+++ b/node/src/test/kotlin/org/nutmegspring/node/TestFleet.kt
@@ -7,6 +7,7 @@
 import io.ktor.client.request.preparePost
 import io.ktor.client.request.setBody
 import io.ktor.client.statement.HttpStatement
+import io.ktor.client.statement.bodyAsText
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
 import kotlinx.coroutines.delay
@@ -23,6 +24,7 @@
 import org.nutmegspring.endpoint.EndpointKind
 import org.nutmegspring.identity.DataCentreId
 import org.nutmegspring.identity.EndpointId
+import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.identity.KeyId
 import org.nutmegspring.identity.OrganisationId
 import org.nutmegspring.identity.Revision
@@ -33,6 +35,7 @@
 import org.nutmegspring.node.instance.startInstance
 import org.nutmegspring.node.settings.SettingsLoader
 import org.nutmegspring.platform.ListedEndpoint
+import org.nutmegspring.platform.ListedInstance
 import org.nutmegspring.platform.ListedState
 import org.nutmegspring.platform.WriteCondition
 import org.nutmegspring.standin.engine.EngineStandIn
@@ -41,8 +44,8 @@
 import org.nutmegspring.standin.service.ServiceStandIn
 import kotlin.time.Duration.Companion.seconds
 
-/** A platform stand-in, two engines, a plain service and one instance on loopback. */
-class TestFleet : AutoCloseable {
+/** A platform stand-in, two engines, a plain service and some instances on loopback. */
+class TestFleet(count: Int = 1) : AutoCloseable {
     private val owned = ArrayDeque<AutoCloseable>()
     private val dataCentre = DataCentreId("rennes")
     private val service = ServiceId("tags")
@@ -50,7 +53,8 @@
     val platform = PlatformStandIn()
     val services = ServiceStandIn(service.value)
     val engines: List<EngineStandIn>
-    val instance: Instance
+    val instances: List<Instance>
+    val instance: Instance get() = instances.first()
     val client = HttpClient(CIO).also { owned.addFirst(it) }
 
     init {
@@ -59,13 +63,40 @@
         val serviceAddress = services.start(HOST, 0).also { owned.addFirst(it) }.address
         list(EndpointDescription(EndpointId("tags-1"), EndpointKind.Plain(service), dataCentre, serviceAddress))
         configure()
-        instance = startInstance(settings(platformAddress)).also { owned.addFirst(it) }
-        runBlocking { awaitTrue { client.get("http://${instance.callerAddress}/readyz").status == HttpStatusCode.OK } }
+        instances = (1..count).map { number ->
+            startInstance(settings(number, platformAddress)).also {
+                owned.addFirst(it)
+                list(it, number)
+            }
+        }
+        runBlocking { awaitTrue { instances.all { isReady(it) && knowsOthers(it) } } }
+    }
+
+    private suspend fun isReady(instance: Instance) =
+        client.get("http://${instance.callerAddress}/readyz").status == HttpStatusCode.OK
+
+    private suspend fun knowsOthers(instance: Instance): Boolean {
+        val named = client.get("http://${instance.callerAddress}/v1/instances").bodyAsText()
+        return instances.all { it.callerAddress in named }
+    }
+
+    private fun list(instance: Instance, number: Int) {
+        val id = InstanceId("entry-$number")
+        val addresses = instance.callerAddress to instance.innerAddress
+        val listed = ListedInstance(id, dataCentre, addresses.first, addresses.second, ListedState.LIVE)
+        platform.instances.set(id, listed)
     }
 
-    fun post(path: String, body: String, bearer: String? = key): HttpStatement = runBlocking {
-        client.preparePost("http://${instance.callerAddress}$path") {
+    fun post(
+        path: String,
+        body: String,
+        bearer: String? = key,
+        at: Instance = instance,
+        idempotencyKey: String? = null,
+    ): HttpStatement = runBlocking {
+        client.preparePost("http://${at.callerAddress}$path") {
             bearer?.let { header(HttpHeaders.Authorization, "Bearer $it") }
+            idempotencyKey?.let { header("Idempotency-Key", it) }
             setBody(body)
         }
     }
@@ -96,11 +127,11 @@
         platform.objects.write(CONFIGURATION_OBJECT, text, WriteCondition.Absent)
     }
 
-    private fun settings(platformAddress: String) = SettingsLoader().parse(
+    private fun settings(number: Int, platformAddress: String) = SettingsLoader().parse(
         "test",
         """
-        instance: { id: entry-1, dataCentre: rennes }
-        callers: { address: "$HOST:0", maximumBodyBytes: 100000 }
+        instance: { id: entry-$number, dataCentre: rennes }
+        callers: { address: "$HOST:0", maximumBodyBytes: 100000, addressLifetimeSeconds: 1 }
         inner: { address: "$HOST:0" }
         platform: { address: "$platformAddress" }
         traces: { exporter: log }
