--- /dev/null
+++ b/node/src/main/kotlin/org/nutmegspring/node/control/HttpConnection.kt
@@ -0,0 +1,112 @@
+package org.nutmegspring.node.control
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.ktor.http.HttpMethod
+import io.ktor.http.cio.RequestResponseBuilder
+import io.ktor.http.cio.parseResponse
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.readByteArray
+import io.ktor.utils.io.writePacket
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.withTimeoutOrNull
+import org.nutmegspring.failure.Effect
+import org.nutmegspring.failure.Failure
+import org.nutmegspring.failure.Peer
+import org.nutmegspring.failure.Step
+import kotlin.time.Duration
+
+/** The answer to a request on an [HttpConnection]. */
+internal class HttpAnswer(
+    val status: Int,
+    val body: String,
+) {
+    /** Whether the request succeeded. */
+    val isSuccess: Boolean get() = status / STATUSES_PER_CLASS == SUCCESS_CLASS
+
+    private companion object {
+        const val STATUSES_PER_CLASS = 100
+        const val SUCCESS_CLASS = 2
+    }
+}
+
+/**
+ * One HTTP connection that carries one request after the other. Unlike a pooled client it is never replaced, so bytes
+ * that are sent after the server closed it have no effect.
+ *
+ * @property timeout how long an answer may take
+ */
+internal class HttpConnection private constructor(
+    private val socket: Socket,
+    private val address: String,
+    private val peer: Peer,
+    private val timeout: Duration,
+) : AutoCloseable {
+    private val input = socket.openReadChannel()
+    private val output = socket.openWriteChannel()
+
+    /** Sends a request with one write and returns its answer. */
+    suspend fun exchange(method: HttpMethod, path: String, body: String? = null): Either<Failure, HttpAnswer> =
+        guarded(peer, Effect.UNKNOWN, timeout) {
+            val request = request(method, path, body?.encodeToByteArray())
+            output.writePacket(request)
+            output.flush()
+            answer()
+        }
+
+    override fun close() = socket.close()
+
+    private fun request(method: HttpMethod, path: String, body: ByteArray?) = RequestResponseBuilder().apply {
+        requestLine(method, path, "HTTP/1.1")
+        headerLine("Host", address)
+        if (body != null) {
+            headerLine("Content-Type", "application/json")
+            headerLine("Content-Length", body.size.toString())
+        }
+        emptyLine()
+        if (body != null) bytes(body)
+    }.build()
+
+    private suspend fun answer(): HttpAnswer {
+        val response = parseResponse(input) ?: error("the connection was closed")
+        return response.use {
+            val length = response.headers["Content-Length"]?.toString()?.toInt() ?: 0
+            HttpAnswer(response.status, input.readByteArray(length).decodeToString())
+        }
+    }
+
+    companion object {
+        /** Opens a connection to [peer] at [address], `host:port`. */
+        suspend fun open(
+            selector: SelectorManager,
+            address: String,
+            peer: Peer,
+            timeout: Duration,
+        ): Either<Failure, HttpConnection> = guarded(peer, Effect.NOT_RUN, timeout) {
+            val host = address.substringBeforeLast(':')
+            val port = address.substringAfterLast(':').toInt()
+            HttpConnection(aSocket(selector).tcp().connect(host, port), address, peer, timeout)
+        }
+
+        private suspend fun <T : Any> guarded(
+            peer: Peer,
+            effect: Effect,
+            timeout: Duration,
+            action: suspend () -> T,
+        ): Either<Failure, T> = try {
+            withTimeoutOrNull(timeout) { action() }?.right() ?: failure(peer, effect, "no answer in $timeout").left()
+        } catch (cancelled: CancellationException) {
+            throw cancelled
+        } catch (lost: Exception) {
+            failure(peer, effect, lost.message ?: lost.toString()).left()
+        }
+
+        private fun failure(peer: Peer, effect: Effect, message: String): Failure =
+            Failure(if (effect == Effect.NOT_RUN) Step.CONNECT else Step.SEND, peer, effect, message)
+    }
+}
--- a/node/src/main/kotlin/org/nutmegspring/node/control/UsageExchange.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/control/UsageExchange.kt
@@ -59,7 +59,7 @@
         val batches = ledger.use { it.unhanded(members, BATCHES_PER_MESSAGE) }
         if (batches.isEmpty()) return true
         repeat(KEEPERS_TRIED) {
-            val keeper = keeper()?.id ?: return false
+            val keeper = keeper()?.id ?: return true
             val request = UsageHandOnRequest(batches, ledger.use { it.settled() })
             val reply = network.exchange(keeper, request, HAND_ON_TIMEOUT).getOrNull()
             if (reply is UsageHandOnReply) {
--- a/node/src/main/kotlin/org/nutmegspring/node/entry/CompletionHandler.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/entry/CompletionHandler.kt
@@ -23,6 +23,7 @@
 import org.nutmegspring.identity.RequestId
 import org.nutmegspring.identity.TokenCount
 import org.nutmegspring.node.configuration.ConfigurationView
+import org.nutmegspring.node.control.UsageCounter
 import org.nutmegspring.node.execution.Generation
 import org.nutmegspring.node.execution.GenerationEnd
 import org.nutmegspring.node.execution.GenerationExecution
@@ -42,6 +43,7 @@
     val limiter: RateLimiter,
     val chooser: EndpointChooser,
     val execution: GenerationExecution,
+    val usage: UsageCounter,
     val clock: MonotonicClock,
     val epochSeconds: () -> Long,
 )
@@ -144,10 +146,17 @@
         } catch (revoked: KeyRevokedException) {
             return arrow.core.Either.Left(revoked.failure)
         } finally {
-            admitted.charge.settle(TokenCount(maxOf(used, if (tokens > 0) request.promptTokens + tokens else 0)))
+            val total = maxOf(used, if (tokens > 0) request.promptTokens + tokens else 0)
+            admitted.charge.settle(TokenCount(total))
+            if (total > 0) countUsage(total)
         }
     }
 
+    private fun countUsage(total: Long) {
+        val prompt = minOf(total, request.promptTokens)
+        parts.usage.count(admitted.caller.organisation.id, prompt, total - prompt)
+    }
+
     private fun checkKey() {
         val now = parts.clock.now()
         if (now - lastKeyCheck < KEY_CHECK_INTERVAL) return
--- a/node/src/main/kotlin/org/nutmegspring/node/entry/ServiceHandler.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/entry/ServiceHandler.kt
@@ -19,6 +19,7 @@
 import org.nutmegspring.identity.ServiceId
 import org.nutmegspring.identity.TokenCount
 import org.nutmegspring.node.configuration.ConfigurationView
+import org.nutmegspring.node.control.UsageCounter
 import org.nutmegspring.node.engine.Header
 import org.nutmegspring.node.engine.ServiceAnswer
 import org.nutmegspring.node.engine.ServiceRequest
@@ -32,6 +33,7 @@
     val configuration: ConfigurationView,
     val limiter: RateLimiter,
     val execution: ServiceExecution,
+    val usage: UsageCounter,
 )
 
 /** Serves `/services/{service}/…`. */
@@ -58,7 +60,9 @@
             }
             val key = call.request.headers[IDEMPOTENCY_KEY_HEADER]?.let(::IdempotencyKey)
             val outcome = parts.execution.run(work, request, key)
-            charge?.settle(TokenCount(if (outcome.isRight { it.executed }) service.tokensPerCall else 0))
+            val executed = outcome.isRight { it.executed }
+            charge?.settle(TokenCount(if (executed) service.tokensPerCall else 0))
+            if (executed) parts.usage.count(caller?.organisation?.id, 0, 0)
             outcome.mapLeft(::apiErrorOf).bind().answer
         }
 
--- a/node/src/main/kotlin/org/nutmegspring/node/instance/Instance.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/instance/Instance.kt
@@ -9,6 +9,8 @@
 import org.nutmegspring.execution.AttemptPolicy
 import org.nutmegspring.execution.RetryBudget
 import org.nutmegspring.node.configuration.PolledConfigurationView
+import org.nutmegspring.node.control.UsageParts
+import org.nutmegspring.node.control.UsageRuntime
 import org.nutmegspring.node.engine.EngineClient
 import org.nutmegspring.node.engine.ServiceClient
 import org.nutmegspring.node.engine.endpointHttpClient
@@ -74,7 +76,11 @@
         payload = mapOf("instance" to settings.instance.id.value, "address" to entry.address)
     }
     val scope = AutoCloseable { parts.scope.cancel() }
-    return Instance(entry, parts.inner, listOf(scope, parts.inner, parts.client, parts.platform, parts.telemetry))
+    return Instance(
+        entry,
+        parts.inner,
+        listOf(scope, parts.usage, parts.inner, parts.client, parts.platform, parts.telemetry),
+    )
 }
 
 /** What one instance consists of. Each concern adds its parts here, after those that it needs. */
@@ -118,16 +124,29 @@
         ),
     )
 
+    val usage = UsageRuntime(
+        UsageParts(
+            inner.incarnation,
+            platform,
+            settings.platform.address,
+            inner.transport,
+            inner.membership,
+            clock,
+            System::currentTimeMillis,
+        ),
+    ).also { it.start(scope) }
+
     init {
         inner.life.onRelease { services.awaitIdle() }
+        inner.life.onRelease { usage.release() }
     }
 
     private val admission = Admission(configuration, settings.callers)
     private val reader = CompletionRequestReader(settings.generation)
     private val completions = CompletionHandler(
-        CompletionParts(admission, configuration, reader, limiter, chooser, generations, clock, epochSeconds),
+        CompletionParts(admission, configuration, reader, limiter, chooser, generations, usage, clock, epochSeconds),
     )
-    private val serviceHandler = ServiceHandler(ServiceParts(admission, configuration, limiter, services))
+    private val serviceHandler = ServiceHandler(ServiceParts(admission, configuration, limiter, services, usage))
     private val tickets = TicketRoutes(admission, configuration, services)
     val entry = EntryServer(
         EntryParts(
