--- a/decisions/src/main/kotlin/org/nutmegspring/membership/MembershipTable.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/membership/MembershipTable.kt
@@ -21,7 +21,7 @@
     val suspicion: Duration = 5.seconds,
     val joinGrace: Duration = 10.seconds,
     val forgetting: Duration = 60.seconds,
-    val digestSize: Int = 32,
+    val digestSize: Int = 4,
 )
 
 /**
--- a/decisions/src/test/kotlin/org/nutmegspring/membership/MembershipTableSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/membership/MembershipTableSpec.kt
@@ -123,6 +123,7 @@
     inner class `given more members than a digest holds` {
         @Test
         fun `successive digests tell of all of them`() {
+            val table = MembershipTable(self, MembershipTiming(digestSize = 32))
             val ids = (100 until 180).map { InstanceId("m$it") }
             table.replied(ids.map { report(it, 1) }, start)
             val told = List(3) { table.digest(start).map { it.state.id } }
--- a/node/src/main/kotlin/org/nutmegspring/node/membership/HeartbeatMembership.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/membership/HeartbeatMembership.kt
@@ -65,7 +65,7 @@
  * @property fanout how many are asked at each heartbeat in a larger fleet
  */
 data class HeartbeatSettings(
-    val interval: Duration = 500.milliseconds,
+    val interval: Duration = 1.seconds,
     val timeout: Duration = 2.seconds,
     val listing: Duration = 1.seconds,
     val listingPerMember: Duration = 10.milliseconds,
--- a/node/src/test/kotlin/org/nutmegspring/node/membership/HeartbeatMembershipSpec.kt
+++ b/node/src/test/kotlin/org/nutmegspring/node/membership/HeartbeatMembershipSpec.kt
@@ -7,6 +7,9 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.cbor.Cbor
 import org.junit.jupiter.api.Nested
 import org.nutmegspring.failure.Effect
 import org.nutmegspring.failure.Failure
@@ -41,7 +44,8 @@
 class HeartbeatMembershipSpec {
     private val cutOff = HashSet<InstanceId>()
     private val handlers = HashMap<InstanceId, InnerHandler>()
-    private val ids = List(4) { InstanceId("i$it") }
+    private var ids = List(4) { InstanceId("i$it") }
+    private val carried = HashMap<InstanceId, Long>()
 
     private inner class FakeNetwork(private val own: InstanceId) : InnerNetwork {
         override fun addHandler(handler: InnerHandler) {
@@ -59,10 +63,17 @@
                 return Failure(Step.EXCHANGE, Peer("instance $to"), Effect.UNKNOWN, "no reply").left()
             }
             delay(2.milliseconds)
-            return handler.handle(own, request)!!.right()
+            val reply = handler.handle(own, request)!!
+            val bytes = encodedSize(InnerRequest.serializer(), request) + encodedSize(InnerReply.serializer(), reply)
+            listOf(own, to).forEach { carried.merge(it, bytes, Long::plus) }
+            return reply.right()
         }
     }
 
+    @OptIn(ExperimentalSerializationApi::class)
+    private fun <T> encodedSize(serializer: KSerializer<T>, message: T): Long =
+        Cbor.encodeToByteArray(serializer, message).size + FRAME_BYTES
+
     private val lists = object : PlatformLists {
         override suspend fun instances(): Either<StoreFailure, List<ListedInstance>> = ids.map {
             ListedInstance(it, DataCentreId("rennes"), "127.0.0.1:1", "127.0.0.1:2", ListedState.LIVE)
@@ -124,6 +135,21 @@
         }
     }
 
+    @Nested
+    inner class `given nine instances` {
+        @Test
+        fun `heartbeats take less than the 16 KB a second that a node may spend on control`() = runTest {
+            ids = List(9) { InstanceId("entry-rennes-$it") }
+            val members = ids.map { start(it) }
+            delay(3.seconds)
+            carried.clear()
+            delay(60.seconds)
+            assertTrue(members.all { it.peers().size == 8 })
+            val most = carried.values.max() / 60
+            assertTrue(most < 16 * 1024, "$most bytes a second, sent and received")
+        }
+    }
+
     @Nested
     inner class `given an instance that is cut off` {
         @Test
@@ -140,4 +166,8 @@
             assertEquals(3, members[0].peers().size)
         }
     }
+
+    private companion object {
+        const val FRAME_BYTES = 20L
+    }
 }
