Ask the store about usage windows only when one has ended

In a demo of three instances with eight shards the platform counted 6,648 reads in about 75 s; the holders asked for the progress and the last windows twice a second per shard.

--- a/node/src/main/kotlin/org/nutmegspring/node/control/UsageRuntime.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/control/UsageRuntime.kt
@@ -50,10 +50,14 @@
 ) {
     /** The lease outlasts the platform's limit, or nothing could be reported. */
     val leaseTiming: LeaseTiming =
-        LeaseTiming(duration = requestLimit * 2, renewEvery = requestLimit / RENEWALS_PER_LIMIT)
+        LeaseTiming(
+            duration = requestLimit * 2,
+            renewEvery = requestLimit / STEPS_PER_LIMIT,
+            readEvery = requestLimit / STEPS_PER_LIMIT,
+        )
 
     private companion object {
-        const val RENEWALS_PER_LIMIT = 10
+        const val STEPS_PER_LIMIT = 9
     }
 }
 
--- a/node/src/main/kotlin/org/nutmegspring/node/control/UsageWindows.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/control/UsageWindows.kt
@@ -9,6 +9,7 @@
 import org.nutmegspring.failure.Failure
 import org.nutmegspring.failure.Peer
 import org.nutmegspring.failure.Step
+import org.nutmegspring.identity.FencingNumber
 import org.nutmegspring.lease.HeldLease
 import org.nutmegspring.lease.SendLimit
 import org.nutmegspring.platform.ObjectStore
@@ -48,6 +49,8 @@
     private val windows = StoredValues(store, FixedWindow.serializer())
     private val progress = StoredValues(store, WindowProgress.serializer())
 
+    private var finished: FinishedWindow? = null
+
     @Volatile
     private var deadline: MonotonicTime? = null
 
@@ -57,13 +60,19 @@
     /** Fixes and reports windows until the coroutine is cancelled. */
     suspend fun run(): Nothing {
         while (true) {
-            if (held() != null) advance()
+            val lease = held()
+            if (lease != null && !isFinished(lease)) advance()
             delay(POLL_INTERVAL)
         }
     }
 
+    /** Whether nothing is left to do before the next window ends. The store is not asked. */
+    private fun isFinished(lease: HeldLease): Boolean =
+        finished.let { it != null && it.fencing == lease.fencing && it.window >= lastClosed() }
+
     /** Fixes and reports every window that can be, or returns why it stopped. */
     suspend fun advance(): Either<Failure, Unit> = either {
+        val fencing = authority().fencing
         var last = lastFixed(readProgress())
         while (last.window < lastClosed()) last = fix(last)
         while (true) {
@@ -73,6 +82,7 @@
             val next = WindowProgress(maxOf(last.window, current.value.fixed), current.value.reported + 1)
             progress.write(progressKey(shard), next, current.asCondition()).getOrElse { raise(it.asFailure()) }
         }
+        finished = FinishedWindow(fencing, last.window)
     }
 
     private suspend fun Raise<Failure>.readProgress(): StoredValue<WindowProgress> {
@@ -124,6 +134,12 @@
     private fun failure(message: String): Failure =
         Failure(Step.REPORT_USAGE, Peer.PLATFORM, Effect.UNKNOWN, message, retryAfter = POLL_INTERVAL)
 
+    /** Up to [window] every window was reported under the lease of [fencing]. */
+    private class FinishedWindow(
+        val fencing: FencingNumber,
+        val window: Long,
+    )
+
     private companion object {
         val POLL_INTERVAL = 500.milliseconds
     }
