--- /dev/null
+++ b/node/src/main/kotlin/org/nutmegspring/node/administration/InstanceDescriptions.kt
@@ -0,0 +1,33 @@
+package org.nutmegspring.node.administration
+
+import org.nutmegspring.identity.InstanceId
+import org.nutmegspring.node.membership.MemberState
+import org.nutmegspring.node.membership.Membership
+
+/** Returns what [membership] knows of all instances, in the order of their ids. */
+internal fun describeInstances(membership: Membership): List<InstanceDescription> {
+    val listed = membership.listed()
+    val known = membership.peers() + membership.self
+    val unknown = listed - known.map { it.id }.toSet()
+    return (known.map { describe(it, it.id in listed) } + unknown.map(::describeListed)).sortedBy { it.id }
+}
+
+private fun describe(member: MemberState, listed: Boolean) = InstanceDescription(
+    id = member.id,
+    dataCentre = member.dataCentre,
+    callerAddress = member.callerAddress,
+    phase = member.phase,
+    revision = member.revision,
+    listed = listed,
+    evidenceAgeMilliseconds = member.evidenceAge.inWholeMilliseconds,
+)
+
+private fun describeListed(id: InstanceId) = InstanceDescription(
+    id = id,
+    dataCentre = null,
+    callerAddress = null,
+    phase = null,
+    revision = null,
+    listed = true,
+    evidenceAgeMilliseconds = null,
+)
--- /dev/null
+++ b/node/src/main/kotlin/org/nutmegspring/node/administration/sheet/SheetChange.kt
@@ -0,0 +1,91 @@
+package org.nutmegspring.node.administration.sheet
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import org.nutmegspring.configuration.ChainState
+import org.nutmegspring.configuration.ConfigurationEdit
+import org.nutmegspring.configuration.ConfigurationPart
+import org.nutmegspring.configuration.Expectation
+import org.nutmegspring.configuration.Organisation
+import org.nutmegspring.configuration.PartProblem
+import org.nutmegspring.configuration.PartValue
+import org.nutmegspring.configuration.ProposedEdit
+import org.nutmegspring.configuration.TokenRate
+import org.nutmegspring.configuration.problemsOf
+import org.nutmegspring.node.administration.SheetDifference
+
+/** What a sheet changes. The edits hold only on the parts as they were when the sheet was compared. */
+internal data class SheetChange(
+    val edits: List<ProposedEdit>,
+    val differences: List<SheetDifference>,
+)
+
+/** Returns what [rows] change in [state], or everything that is wrong with them there. */
+internal fun sheetChange(state: ChainState, rows: List<SheetRow>): Either<List<SheetProblem>, SheetChange> {
+    val problems = ArrayList<SheetProblem>()
+    val edits = ArrayList<ProposedEdit>()
+    val differences = ArrayList<SheetDifference>()
+    rows.forEach { row ->
+        val record = state.records[ConfigurationPart.OrganisationPart(row.organisation)]
+        val before = (record?.value as? PartValue.OrganisationValue)?.organisation
+        if (before == null) problems += missingFields(row)
+        val after = merged(before, row)
+        val value = PartValue.OrganisationValue(after)
+        problems += problemsOf(value).map { SheetProblem(row.line, columnOf(it), it.message) }
+        if (after != before) {
+            val expectation = record?.let { Expectation.LastChangedAt(it.mark.revision) } ?: Expectation.Absent
+            edits += ProposedEdit(ConfigurationEdit.Put(value), expectation)
+            differences += differences(before, after)
+        }
+    }
+    return if (problems.isEmpty()) SheetChange(edits, differences).right() else problems.distinct().left()
+}
+
+private fun merged(before: Organisation?, row: SheetRow): Organisation {
+    val base = before ?: Organisation(row.organisation, row.organisation.value, TokenRate(0, 0))
+    return base.copy(
+        name = row.name ?: base.name,
+        rate = TokenRate(
+            row.tokensPerSecond ?: base.rate.tokensPerSecond,
+            row.burstTokens ?: base.rate.burstTokens,
+        ),
+        weight = row.weight ?: base.weight,
+        budgetPerDay = row.budget ?: base.budgetPerDay,
+        venues = row.venues ?: base.venues,
+        crew = row.crew ?: base.crew,
+    )
+}
+
+private fun missingFields(row: SheetRow): List<SheetProblem> = listOf(
+    SheetColumn.TOKENS_PER_SECOND to row.tokensPerSecond,
+    SheetColumn.BURST_TOKENS to row.burstTokens,
+).filter { it.second == null }.map { (column, _) ->
+    SheetProblem(row.line, column.title, "is needed, because '${row.organisation}' is a new organisation")
+}
+
+private fun columnOf(problem: PartProblem): String = when (problem.field) {
+    "id" -> SheetColumn.ORGANISATION
+    "rate.tokensPerSecond" -> SheetColumn.TOKENS_PER_SECOND
+    "rate.burstTokens" -> SheetColumn.BURST_TOKENS
+    "budgetPerDay" -> SheetColumn.BUDGET
+    "weight" -> SheetColumn.WEIGHT
+    "crew" -> SheetColumn.CREW
+    else -> SheetColumn.NAME
+}.title
+
+private fun differences(before: Organisation?, after: Organisation): List<SheetDifference> {
+    val earlier = before?.let(::fields).orEmpty()
+    return fields(after).filter { (field, value) -> earlier[field] != value }
+        .map { (field, value) -> SheetDifference(after.id, field, earlier[field], value) }
+}
+
+private fun fields(organisation: Organisation): Map<String, String> = buildMap {
+    put(SheetColumn.NAME.title, organisation.name)
+    put(SheetColumn.CREW.title, organisation.crew.toString())
+    put(SheetColumn.VENUES.title, organisation.venues.sorted().joinToString(";"))
+    organisation.budgetPerDay?.let { put(SheetColumn.BUDGET.title, it.toString()) }
+    put(SheetColumn.TOKENS_PER_SECOND.title, organisation.rate.tokensPerSecond.toString())
+    put(SheetColumn.BURST_TOKENS.title, organisation.rate.burstTokens.toString())
+    put(SheetColumn.WEIGHT.title, organisation.weight.toString())
+}
--- a/node/src/main/kotlin/org/nutmegspring/node/configuration/ChainStore.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/configuration/ChainStore.kt
@@ -6,9 +6,15 @@
 import kotlinx.serialization.json.Json
 import org.nutmegspring.configuration.ChainHead
 import org.nutmegspring.configuration.ChainManifest
+import org.nutmegspring.configuration.ChainState
+import org.nutmegspring.configuration.ConfigurationChange
+import org.nutmegspring.configuration.ConfigurationEdit
+import org.nutmegspring.configuration.OperatorName
+import org.nutmegspring.configuration.PartValue
 import org.nutmegspring.configuration.ShardContent
 import org.nutmegspring.configuration.ShardReference
 import org.nutmegspring.configuration.WriteId
+import org.nutmegspring.identity.Incarnation
 import org.nutmegspring.identity.Revision
 import org.nutmegspring.platform.ObjectKey
 import org.nutmegspring.platform.ObjectStore
@@ -75,17 +81,31 @@
         { it.left() },
         { stored -> stored?.let { objects.delete(key, it.version) } ?: Unit.right() },
     )
+}
+
+/**
+ * Returns the objects of a chain whose first revision holds the parts [values], in the order in which they have to be
+ * written.
+ */
+fun initialChain(values: List<PartValue>, operator: OperatorName): List<Pair<ObjectKey, String>> {
+    val writer = WriteId(Incarnation(0), 0)
+    val edits = values.map { ConfigurationEdit.Put(it) }
+    val state = ChainState.EMPTY.apply(ConfigurationChange(Revision.NONE.next(), writer, operator, edits))
+    val shards = state.manifest.shards.map { (shard, reference) ->
+        shardKey(shard, reference) to json.encodeToString(ShardContent.serializer(), state.shardContent(shard))
+    }
+    val manifest = json.encodeToString(ChainManifest.serializer(), state.manifest)
+    val head = json.encodeToString(ChainHead.serializer(), ChainHead(state.revision, writer))
+    return shards + (manifestKey(state.revision, writer) to manifest) + (HEAD_KEY to head)
+}
 
-    private companion object {
-        val json = Json { ignoreUnknownKeys = true }
-        val HEAD_KEY = ObjectKey("configuration/head")
+private val json = Json { ignoreUnknownKeys = true }
+private val HEAD_KEY = ObjectKey("configuration/head")
 
-        fun manifestKey(revision: Revision, writer: WriteId) =
-            ObjectKey("configuration/manifest/${name(revision, writer)}")
+private fun manifestKey(revision: Revision, writer: WriteId) =
+    ObjectKey("configuration/manifest/${nameOf(revision, writer)}")
 
-        fun shardKey(shard: Int, reference: ShardReference) =
-            ObjectKey("configuration/shard/$shard/${name(reference.revision, reference.writer)}")
+private fun shardKey(shard: Int, reference: ShardReference) =
+    ObjectKey("configuration/shard/$shard/${nameOf(reference.revision, reference.writer)}")
 
-        fun name(revision: Revision, writer: WriteId) = "$revision-${writer.incarnation}-${writer.sequence}"
-    }
-}
+private fun nameOf(revision: Revision, writer: WriteId) = "$revision-${writer.incarnation}-${writer.sequence}"
