--- a/command-line/src/main/kotlin/org/nutmegspring/commandline/demo/DemoFleet.kt
+++ b/command-line/src/main/kotlin/org/nutmegspring/commandline/demo/DemoFleet.kt
@@ -1,10 +1,10 @@
 package org.nutmegspring.commandline.demo
 
-import kotlinx.serialization.json.Json
 import org.nutmegspring.configuration.ApiKey
 import org.nutmegspring.configuration.CallPattern
-import org.nutmegspring.configuration.Configuration
+import org.nutmegspring.configuration.OperatorName
 import org.nutmegspring.configuration.Organisation
+import org.nutmegspring.configuration.PartValue
 import org.nutmegspring.configuration.Service
 import org.nutmegspring.configuration.TokenRate
 import org.nutmegspring.endpoint.EndpointDescription
@@ -14,10 +14,9 @@
 import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.identity.KeyId
 import org.nutmegspring.identity.OrganisationId
-import org.nutmegspring.identity.Revision
 import org.nutmegspring.identity.ServiceId
-import org.nutmegspring.node.configuration.CONFIGURATION_OBJECT
 import org.nutmegspring.node.configuration.hashOf
+import org.nutmegspring.node.configuration.initialChain
 import org.nutmegspring.node.instance.Instance
 import org.nutmegspring.node.instance.startInstance
 import org.nutmegspring.node.settings.Settings
@@ -39,6 +38,9 @@
     /** The key of the first organisation. */
     val key: String = "nsk_demo-theatre"
 
+    /** The token of the operator. */
+    val operatorToken: String = "demo-operator"
+
     /** The instances. */
     val instances: List<Instance>
 
@@ -95,14 +97,12 @@
         }
         val apiKey = ApiKey(KeyId("demo"), organisations.first().id, hashOf(key))
         val service = Service(SERVICE, notRepeatable = listOf(CallPattern("POST", "/confirm")))
-        val configuration = Configuration(
-            revision = Revision(1),
-            organisations = organisations.associateBy { it.id },
-            keys = mapOf(apiKey.hash to apiKey),
-            services = mapOf(service.id to service),
-        )
-        val text = Json.encodeToString(Configuration.serializer(), configuration)
-        platform.objects.write(CONFIGURATION_OBJECT, text, WriteCondition.Absent)
+        val values = organisations.map { PartValue.OrganisationValue(it) } +
+            PartValue.KeyValue(apiKey) +
+            PartValue.ServiceValue(service)
+        initialChain(values, OperatorName("demo")).forEach { (key, text) ->
+            platform.objects.write(key, text, WriteCondition.Absent)
+        }
     }
 
     private fun settings(number: Int, platformAddress: String): Settings {
@@ -113,6 +113,7 @@
             callers: { address: "$HOST:0" }
             inner: { address: "$HOST:0" }
             platform: { address: "$platformAddress" }
+            administration: { operators: [ { name: demo, tokenHash: ${hashOf(operatorToken).value} } ] }
         """.trimIndent()
         return SettingsLoader().parse("demo", text).fold({ error(it.joinToString()) }, { it })
     }
--- a/measure/src/main/kotlin/org/nutmegspring/measure/configuration/SimulatedFleet.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/configuration/SimulatedFleet.kt
@@ -139,7 +139,7 @@
 
         override fun listed(): Set<InstanceId> = published + id
 
-        override val listRead: Boolean get() = true
+        override val selfListed: Boolean get() = id in published
     }
 
     private fun member(id: InstanceId, incarnation: Incarnation) = MemberState(
--- a/node/src/main/kotlin/org/nutmegspring/node/configuration/ConfigurationRuntime.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/configuration/ConfigurationRuntime.kt
@@ -49,6 +49,9 @@
     /** The age of the evidence that the applied configuration is current, or null without evidence. */
     val evidenceAge: Duration?
 
+    /** How long ago the head of the chain was last read from the store, or null before that. */
+    val headReadAge: Duration?
+
     /** Keeps the configuration current in [scope] until that ends. */
     fun start(scope: CoroutineScope)
 
@@ -85,6 +88,7 @@
     override val view: ConfigurationView = ReplicatedConfigurationView(replica, policy.timing, environment.wallClock)
     override val state: ChainState get() = replica.state
     override val evidenceAge: Duration? get() = replica.evidenceAge()
+    override val headReadAge: Duration? get() = replica.headReadAge()
 
     init {
         environment.network.addHandler(ConfigurationHandler(self, replica, synchronizer::gapFound))
--- a/node/src/main/kotlin/org/nutmegspring/node/configuration/ConfigurationSynchronizer.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/configuration/ConfigurationSynchronizer.kt
@@ -64,7 +64,7 @@
 
     private suspend fun askPeers() {
         ask(peersToAsk())
-        if (membership.listRead) replica.countVotes(membership.listed())
+        if (membership.selfListed) replica.countVotes(membership.listed())
         noticeGap()
     }
 
--- a/node/src/main/kotlin/org/nutmegspring/node/configuration/RevisionTracker.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/configuration/RevisionTracker.kt
@@ -80,7 +80,7 @@
         val listed = membership.listed()
         val counted = (holders + membership.self.id).toSet() intersect listed
         val now = clock.now()
-        val accepted = membership.listRead &&
+        val accepted = membership.selfListed &&
             replica.revision >= revision &&
             counted.size >= quorumOf(listed.size) &&
             now - startedAt <= timing.acceptanceWindow
--- /dev/null
+++ b/node/src/main/kotlin/org/nutmegspring/node/instance/ConfigurationSide.kt
@@ -0,0 +1,45 @@
+package org.nutmegspring.node.instance
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.core.instrument.MeterRegistry
+import kotlinx.coroutines.CoroutineScope
+import org.nutmegspring.invariant.InvariantMonitor
+import org.nutmegspring.node.configuration.ConfigurationEnvironment
+import org.nutmegspring.node.configuration.ConfigurationRuntime
+import org.nutmegspring.node.configuration.configurationRuntime
+import org.nutmegspring.platform.ObjectStore
+import org.nutmegspring.time.MonotonicClock
+import kotlin.time.DurationUnit
+
+private val logger = KotlinLogging.logger {}
+
+/** Starts to keep the configuration of an instance current in [scope]. */
+internal fun startedConfiguration(
+    objects: ObjectStore,
+    inner: InnerSide,
+    clock: MonotonicClock,
+    meters: MeterRegistry,
+    scope: CoroutineScope,
+): ConfigurationRuntime {
+    val violations = meters.counter("nutmegspring.invariant.violations")
+    val monitor = InvariantMonitor(seed = null) { violation ->
+        violations.increment()
+        logger.error { violation.toString() }
+    }
+    val environment = ConfigurationEnvironment(objects, inner.transport, inner.membership, clock, monitor)
+    val runtime = configurationRuntime(environment)
+    inner.status.appliedRevision = { runtime.state.revision }
+    inner.status.storeEvidence = { runtime.headReadAge }
+    bindMeters(meters, runtime)
+    runtime.start(scope)
+    return runtime
+}
+
+private fun bindMeters(meters: MeterRegistry, runtime: ConfigurationRuntime) {
+    Gauge.builder("nutmegspring.configuration.revision", runtime) { it.state.revision.value.toDouble() }
+        .register(meters)
+    Gauge.builder("nutmegspring.configuration.evidence.age.seconds", runtime) {
+        it.evidenceAge?.toDouble(DurationUnit.SECONDS) ?: Double.NaN
+    }.register(meters)
+}
--- a/node/src/main/kotlin/org/nutmegspring/node/instance/InnerSide.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/instance/InnerSide.kt
@@ -6,7 +6,6 @@
 import kotlinx.coroutines.runBlocking
 import org.nutmegspring.identity.Incarnation
 import org.nutmegspring.identity.Revision
-import org.nutmegspring.node.configuration.ConfigurationView
 import org.nutmegspring.node.membership.HeartbeatMembership
 import org.nutmegspring.node.membership.InstanceDirectory
 import org.nutmegspring.node.membership.InstanceLife
@@ -26,17 +25,18 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** What of this instance's state is told to others. Concerns set it when they start. */
-class ReportedStatus(
-    private val configuration: ConfigurationView,
-    private val gate: RequestGate,
-) : SelfStatus {
+class ReportedStatus(private val gate: RequestGate) : SelfStatus {
+    /** Reads the applied revision. */
+    @Volatile
+    var appliedRevision: () -> Revision = { Revision.NONE }
+
     /** Reads how long ago the head of the configuration was read from the store. */
     @Volatile
     var storeEvidence: () -> Duration? = { null }
 
     override fun load(): Double = gate.load
 
-    override fun revision(): Revision = configuration.configuration.value.revision
+    override fun revision(): Revision = appliedRevision()
 
     override fun storeEvidenceAge(): Duration? = storeEvidence()
 }
@@ -66,14 +66,13 @@
 /** Opens the inner side of an instance. It tells others nothing before it is started. */
 internal fun innerSide(
     settings: Settings,
-    configuration: ConfigurationView,
     lists: PlatformLists,
     telemetry: Telemetry,
     clock: MonotonicClock,
 ): InnerSide {
     val incarnation = Incarnation(SecureRandom().nextLong())
     val gate = RequestGate()
-    val status = ReportedStatus(configuration, gate)
+    val status = ReportedStatus(gate)
     val description = SelfDescription(
         settings.instance.id,
         incarnation,
--- a/node/src/main/kotlin/org/nutmegspring/node/instance/Instance.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/instance/Instance.kt
@@ -8,7 +8,7 @@
 import kotlinx.coroutines.runBlocking
 import org.nutmegspring.execution.AttemptPolicy
 import org.nutmegspring.execution.RetryBudget
-import org.nutmegspring.node.configuration.PolledConfigurationView
+import org.nutmegspring.node.administration.AdministrationRoutes
 import org.nutmegspring.node.control.UsageParts
 import org.nutmegspring.node.control.UsageRuntime
 import org.nutmegspring.node.engine.EngineClient
@@ -92,8 +92,9 @@
     val platform = httpPlatform(settings.platform.address, settings.platform.timeoutMilliseconds.milliseconds)
     val client = endpointHttpClient(settings.endpoints)
 
-    private val configuration = PolledConfigurationView(platform, epochSeconds).also { it.start(scope) }
-    val inner = innerSide(settings, configuration, platform, telemetry, clock)
+    val inner = innerSide(settings, platform, telemetry, clock)
+    val configurationRuntime = startedConfiguration(platform, inner, clock, telemetry.meters, scope)
+    private val configuration = configurationRuntime.view
 
     val chooser = LoadAwareChooser(
         ChooserSources(
@@ -148,6 +149,8 @@
     )
     private val serviceHandler = ServiceHandler(ServiceParts(admission, configuration, limiter, services, usage))
     private val tickets = TicketRoutes(admission, configuration, services)
+    private val administration =
+        AdministrationRoutes(configurationRuntime, inner.membership, settings.administration.operators)
     val entry = EntryServer(
         EntryParts(
             completions,
@@ -159,7 +162,7 @@
             epochSeconds,
             inner.gate,
             inner.directory,
-            listOf({ tickets.addTo(this) }, { inner.directory.addTo(this) }),
+            listOf({ tickets.addTo(this) }, { inner.directory.addTo(this) }, { administration.addTo(this) }),
         ),
     )
 }
--- a/node/src/main/kotlin/org/nutmegspring/node/membership/HeartbeatMembership.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/membership/HeartbeatMembership.kt
@@ -98,10 +98,6 @@
     @Volatile
     var phase: InstancePhase = InstancePhase.JOINING
 
-    @Volatile
-    override var listRead: Boolean = false
-        private set
-
     override val self: MemberState
         get() = MemberState(
             id = description.id,
@@ -120,6 +116,8 @@
 
     override fun listed(): Set<InstanceId> = synchronized(lock) { table.listed } + description.id
 
+    override val selfListed: Boolean get() = synchronized(lock) { description.id in table.listed }
+
     override fun departingEndpoints(): Set<EndpointId> = synchronized(lock) { departing.all() }
 
     override fun reportDeparting(endpoint: EndpointId): Unit =
@@ -183,10 +181,7 @@
     private suspend fun refreshList() {
         lists.instances().fold(
             { logger.debug { "the list of instances could not be read: $it" } },
-            { instances ->
-                synchronized(lock) { table.list(instances, clock.now()) }
-                listRead = true
-            },
+            { instances -> synchronized(lock) { table.list(instances, clock.now()) } },
         )
     }
 
--- a/node/src/main/kotlin/org/nutmegspring/node/membership/Membership.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/membership/Membership.kt
@@ -20,8 +20,8 @@
     /** The ids that the platform last listed, this instance's included. */
     fun listed(): Set<InstanceId>
 
-    /** Whether the platform's list has been read since this process started. */
-    val listRead: Boolean
+    /** Whether the platform's list, as last read, names this instance. */
+    val selfListed: Boolean
 
     /** The endpoints that this or another instance has found to be departing. */
     fun departingEndpoints(): Set<EndpointId> = emptySet()
--- a/node/src/test/kotlin/org/nutmegspring/node/administration/AdministrationFixture.kt
+++ b/node/src/test/kotlin/org/nutmegspring/node/administration/AdministrationFixture.kt
@@ -105,7 +105,7 @@
             Duration.ZERO,
             null,
         )
-        override val listRead = true
+        override val selfListed = true
 
         override fun peers(): List<MemberState> = emptyList()
 
