--- a/command-line/src/main/kotlin/org/nutmegspring/commandline/CommandProvider.kt
+++ b/command-line/src/main/kotlin/org/nutmegspring/commandline/CommandProvider.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
+import org.nutmegspring.commandline.administration.AdminCommand
 import org.nutmegspring.commandline.demo.DemoCommand
 import org.nutmegspring.commandline.measure.MeasureCommand
 import org.nutmegspring.commandline.standin.StandInCommand
@@ -13,6 +14,7 @@
     fun commands(context: CommandContext): List<Subcommand> = listOf(
         ServeCommand(context),
         CheckCommand(context),
+        AdminCommand(context),
         DemoCommand(context),
         StandInCommand(context),
         MeasureCommand(context),
--- a/node/src/test/kotlin/org/nutmegspring/node/TestFleet.kt
+++ b/node/src/test/kotlin/org/nutmegspring/node/TestFleet.kt
@@ -13,11 +13,11 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
-import kotlinx.serialization.json.Json
 import org.nutmegspring.configuration.ApiKey
 import org.nutmegspring.configuration.CallPattern
-import org.nutmegspring.configuration.Configuration
+import org.nutmegspring.configuration.OperatorName
 import org.nutmegspring.configuration.Organisation
+import org.nutmegspring.configuration.PartValue
 import org.nutmegspring.configuration.Service
 import org.nutmegspring.configuration.TokenRate
 import org.nutmegspring.endpoint.EndpointDescription
@@ -27,10 +27,9 @@
 import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.identity.KeyId
 import org.nutmegspring.identity.OrganisationId
-import org.nutmegspring.identity.Revision
 import org.nutmegspring.identity.ServiceId
-import org.nutmegspring.node.configuration.CONFIGURATION_OBJECT
 import org.nutmegspring.node.configuration.hashOf
+import org.nutmegspring.node.configuration.initialChain
 import org.nutmegspring.node.instance.Instance
 import org.nutmegspring.node.instance.startInstance
 import org.nutmegspring.node.settings.SettingsLoader
@@ -38,6 +37,7 @@
 import org.nutmegspring.platform.ListedInstance
 import org.nutmegspring.platform.ListedState
 import org.nutmegspring.platform.WriteCondition
+import org.nutmegspring.standin.engine.EngineCost
 import org.nutmegspring.standin.engine.EngineStandIn
 import org.nutmegspring.standin.engine.EngineStandInSettings
 import org.nutmegspring.standin.platform.PlatformStandIn
@@ -45,11 +45,12 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** A platform stand-in, two engines, a plain service and some instances on loopback. */
-class TestFleet(count: Int = 1) : AutoCloseable {
+class TestFleet(count: Int = 1, private val cost: EngineCost = EngineCost()) : AutoCloseable {
     private val owned = ArrayDeque<AutoCloseable>()
     private val dataCentre = DataCentreId("rennes")
     private val service = ServiceId("tags")
     val key = "nsk_secret-of-the-caller"
+    val operatorToken = "token-of-the-operator"
     val platform = PlatformStandIn()
     val services = ServiceStandIn(service.value)
     val engines: List<EngineStandIn>
@@ -106,7 +107,7 @@
     private fun startEngine(number: Int): EngineStandIn {
         val id = EndpointId("engine-$number")
         val unbound = EndpointDescription(id, EndpointKind.Engine, dataCentre, "$HOST:0")
-        val engine = EngineStandIn(EngineStandInSettings(unbound)).also { owned.addFirst(it) }
+        val engine = EngineStandIn(EngineStandInSettings(unbound, cost = cost)).also { owned.addFirst(it) }
         list(unbound.copy(address = engine.start(HOST, 0).address))
         return engine
     }
@@ -117,14 +118,14 @@
     private fun configure() {
         val organisation = Organisation(OrganisationId("theatre"), "Theatre", TokenRate(1_000_000, 1_000_000))
         val apiKey = ApiKey(KeyId("k1"), organisation.id, hashOf(key))
-        val configuration = Configuration(
-            Revision(1),
-            mapOf(organisation.id to organisation),
-            mapOf(apiKey.hash to apiKey),
-            mapOf(service to Service(service, notRepeatable = listOf(CallPattern("POST", "/confirm")))),
+        val values = listOf(
+            PartValue.OrganisationValue(organisation),
+            PartValue.KeyValue(apiKey),
+            PartValue.ServiceValue(Service(service, notRepeatable = listOf(CallPattern("POST", "/confirm")))),
         )
-        val text = Json.encodeToString(Configuration.serializer(), configuration)
-        platform.objects.write(CONFIGURATION_OBJECT, text, WriteCondition.Absent)
+        initialChain(values, OperatorName("test")).forEach { (key, text) ->
+            platform.objects.write(key, text, WriteCondition.Absent)
+        }
     }
 
     private fun settings(number: Int, platformAddress: String) = SettingsLoader().parse(
@@ -134,6 +135,7 @@
         callers: { address: "$HOST:0", maximumBodyBytes: 100000, addressLifetimeSeconds: 1 }
         inner: { address: "$HOST:0" }
         platform: { address: "$platformAddress" }
+        administration: { operators: [ { name: anne, tokenHash: ${hashOf(operatorToken).value} } ] }
         traces: { exporter: log }
         """.trimIndent(),
     ).fold({ error(it) }, { it })
