--- a/node/src/main/kotlin/org/nutmegspring/node/administration/ConfigurationAdministration.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/administration/ConfigurationAdministration.kt
@@ -85,8 +85,7 @@
         text: String,
         dryRun: Boolean,
     ): Either<AdministrationError, SheetAnswer> = either {
-        val rows = readSheet(text).mapLeft(::sheetError).bind()
-        val change = sheetChange(runtime.state, rows).mapLeft(::sheetError).bind()
+        val change = sheetChange(runtime.state, readSheet(text)).mapLeft(::sheetError).bind()
         if (dryRun || change.edits.isEmpty()) return@either SheetAnswer(change.differences)
         SheetAnswer(change.differences, change(operator, "sheet", change.edits).bind())
     }
--- a/node/src/main/kotlin/org/nutmegspring/node/administration/sheet/SheetChange.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/administration/sheet/SheetChange.kt
@@ -21,12 +21,12 @@
     val differences: List<SheetDifference>,
 )
 
-/** Returns what [rows] change in [state], or everything that is wrong with them there. */
-internal fun sheetChange(state: ChainState, rows: List<SheetRow>): Either<List<SheetProblem>, SheetChange> {
-    val problems = ArrayList<SheetProblem>()
+/** Returns what the sheet [reading] changes in [state], or everything that is wrong with it, in the order of lines. */
+internal fun sheetChange(state: ChainState, reading: SheetReading): Either<List<SheetProblem>, SheetChange> {
+    val problems = ArrayList(reading.problems)
     val edits = ArrayList<ProposedEdit>()
     val differences = ArrayList<SheetDifference>()
-    rows.forEach { row ->
+    reading.rows.forEach { row ->
         val record = state.records[ConfigurationPart.OrganisationPart(row.organisation)]
         val before = (record?.value as? PartValue.OrganisationValue)?.organisation
         if (before == null) problems += missingFields(row)
@@ -39,7 +39,14 @@
             differences += differences(before, after)
         }
     }
-    return if (problems.isEmpty()) SheetChange(edits, differences).right() else problems.distinct().left()
+    return if (problems.isEmpty()) {
+        SheetChange(edits, differences).right()
+    } else {
+        problems.distinctBy {
+            it.line to
+                it.column
+        }.sortedBy { it.line }.left()
+    }
 }
 
 private fun merged(before: Organisation?, row: SheetRow): Organisation {
--- a/node/src/main/kotlin/org/nutmegspring/node/administration/sheet/SheetReader.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/administration/sheet/SheetReader.kt
@@ -1,8 +1,5 @@
 package org.nutmegspring.node.administration.sheet
 
-import arrow.core.Either
-import arrow.core.left
-import arrow.core.right
 import org.apache.commons.csv.CSVException
 import org.apache.commons.csv.CSVFormat
 import org.apache.commons.csv.CSVParser
@@ -57,17 +54,26 @@
     val message: String,
 )
 
-/** Returns the rows of the sheet [text], or everything that is wrong with it. */
-internal fun readSheet(text: String): Either<List<SheetProblem>, List<SheetRow>> = try {
+/** The rows of a sheet and everything that is wrong with its text. */
+internal data class SheetReading(
+    val rows: List<SheetRow>,
+    val problems: List<SheetProblem>,
+)
+
+/** Reads the sheet [text]. */
+internal fun readSheet(text: String): SheetReading = try {
     FORMAT.parse(text.reader()).use(::readRows)
 } catch (malformed: CSVException) {
-    listOf(SheetProblem(1, "", malformed.message.orEmpty())).left()
+    unreadable(malformed)
 } catch (malformed: IOException) {
-    listOf(SheetProblem(1, "", malformed.message.orEmpty())).left()
+    unreadable(malformed)
 } catch (malformed: IllegalArgumentException) {
-    listOf(SheetProblem(1, "", malformed.message.orEmpty())).left()
+    unreadable(malformed)
 }
 
+private fun unreadable(cause: Exception) =
+    SheetReading(emptyList(), listOf(SheetProblem(1, "", cause.message.orEmpty())))
+
 private val FORMAT: CSVFormat = CSVFormat.RFC4180.builder()
     .setHeader()
     .setSkipHeaderRecord(true)
@@ -75,9 +81,9 @@
     .setTrim(true)
     .get()
 
-private fun readRows(parser: CSVParser): Either<List<SheetProblem>, List<SheetRow>> {
+private fun readRows(parser: CSVParser): SheetReading {
     val headerProblems = headerProblems(parser.headerNames)
-    if (headerProblems.isNotEmpty()) return headerProblems.left()
+    if (headerProblems.isNotEmpty()) return SheetReading(emptyList(), headerProblems)
     val reader = RowReader()
     var line = parser.currentLineNumber + 1
     val rows = ArrayList<SheetRow>()
@@ -85,7 +91,7 @@
         rows += reader.read(record, line)
         line = parser.currentLineNumber + 1
     }
-    return if (reader.problems.isEmpty()) rows.right() else reader.problems.left()
+    return SheetReading(rows, reader.problems)
 }
 
 private fun headerProblems(header: List<String>): List<SheetProblem> {
--- a/node/src/main/kotlin/org/nutmegspring/node/instance/ConfigurationSide.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/instance/ConfigurationSide.kt
@@ -30,6 +30,7 @@
     val environment = ConfigurationEnvironment(objects, inner.transport, inner.membership, clock, monitor)
     val runtime = configurationRuntime(environment)
     inner.status.appliedRevision = { runtime.state.revision }
+    inner.status.isCurrent = { runtime.view.currency().isRight() }
     inner.status.storeEvidence = { runtime.headReadAge }
     bindMeters(meters, runtime)
     runtime.start(scope)
--- a/node/src/main/kotlin/org/nutmegspring/node/instance/InnerSide.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/instance/InnerSide.kt
@@ -30,6 +30,10 @@
     @Volatile
     var appliedRevision: () -> Revision = { Revision.NONE }
 
+    /** Reads whether the configuration is current. */
+    @Volatile
+    var isCurrent: () -> Boolean = { false }
+
     /** Reads how long ago the head of the configuration was read from the store. */
     @Volatile
     var storeEvidence: () -> Duration? = { null }
@@ -89,7 +93,7 @@
     bindCounters(telemetry.meters, transport.counters)
     val addressLifetime = settings.callers.addressLifetimeSeconds.seconds
     val directory = InstanceDirectory(membership, addressLifetime)
-    val life = InstanceLife(membership, transport, configuration, gate, addressLifetime)
+    val life = InstanceLife(membership, transport, { status.isCurrent() }, gate, addressLifetime)
     return InnerSide(incarnation, transport, membership, status, gate, directory, life, "$host:$port")
 }
 
--- a/node/src/main/kotlin/org/nutmegspring/node/membership/InstanceLife.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/membership/InstanceLife.kt
@@ -7,7 +7,6 @@
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
 import org.nutmegspring.membership.InstancePhase
-import org.nutmegspring.node.configuration.ConfigurationView
 import org.nutmegspring.protocol.InnerNetwork
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.time.Duration
@@ -21,11 +20,13 @@
  * It is ready while its configuration is current. A planned stop first tells the others, so that no answer names the
  * instance any more; it goes on serving for as long as callers may keep older answers, then turns new requests away,
  * lets the running ones end, and last hands back what other concerns hold.
+ *
+ * @param isCurrent tells whether the configuration is current
  */
 class InstanceLife(
     private val membership: HeartbeatMembership,
     private val network: InnerNetwork,
-    private val configuration: ConfigurationView,
+    private val isCurrent: () -> Boolean,
     private val gate: RequestGate,
     private val addressLifetime: Duration,
 ) {
@@ -63,8 +64,7 @@
     }
 
     private fun followConfiguration() {
-        val current = configuration.currency().isRight()
-        membership.follow(if (current) InstancePhase.READY else InstancePhase.JOINING)
+        membership.follow(if (isCurrent()) InstancePhase.READY else InstancePhase.JOINING)
     }
 
     private companion object {
--- a/node/src/test/kotlin/org/nutmegspring/node/administration/AdministrationRoutesSpec.kt
+++ b/node/src/test/kotlin/org/nutmegspring/node/administration/AdministrationRoutesSpec.kt
@@ -159,10 +159,18 @@
 
         @Test
         fun `is refused whole with every bad row named`() = runBlocking {
-            val bad = good + "vannes,Vannes,many,,-1,100\nbrest,Brest,1,,1,1\n"
+            val bad = good + "vannes,Vannes,many,,-1,100\nbrest,Brest,1,,1,1\nquimper,Quimper,1,,1,\n"
             val error = error(fixture.call(HttpMethod.Post, "sheet", bad))
             val found = error.problems.map { it.line to it.field }
-            assertEquals(listOf(3L to "crew", 3L to "tokens_per_second", 4L to "organisation"), found)
+            assertEquals(
+                listOf(
+                    3L to "crew",
+                    3L to "tokens_per_second",
+                    4L to "organisation",
+                    5L to "burst_tokens",
+                ),
+                found,
+            )
             assertEquals(Revision.NONE, fixture.runtime.state.revision)
         }
     }
