Follow the membership interface in the usage runs

Cause: the interface tells whether this instance is listed in place of whether a list was read; the usage runs did not compile. Seen: they compile. Conclusion: none beyond it.

--- a/measure/src/main/kotlin/org/nutmegspring/measure/usage/UsageInstance.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/usage/UsageInstance.kt
@@ -174,7 +174,7 @@
     private inner class Peers : Membership {
         override val self: MemberState get() = this@UsageInstance.toMemberState()
 
-        override val listRead: Boolean = true
+        override val selfListed: Boolean = true
 
         override fun peers(): List<MemberState> =
             fleet.believedToRun().filter { it.id != id && fleet.reaches(id, it.id) }.map { it.toMemberState() }
