--- a/node/src/test/kotlin/org/nutmegspring/node/control/UsageRuntimeSpec.kt
+++ b/node/src/test/kotlin/org/nutmegspring/node/control/UsageRuntimeSpec.kt
@@ -47,7 +47,7 @@
             evidenceAge = Duration.ZERO,
             storeEvidenceAge = null,
         )
-        override val listRead: Boolean = true
+        override val selfListed: Boolean = true
 
         override fun peers(): List<MemberState> = emptyList()
 
