Recognise calls that are not repeatable in every spelling of their path

Cause: a call of //confirm or /%63onfirm did not match the pattern /confirm, so it was taken for repeatable and could be sent twice. Conclusion: escapes, repeated slashes and dot segments are resolved on both sides before they are compared.

--- a/node/src/main/kotlin/org/nutmegspring/node/entry/ServiceHandler.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/entry/ServiceHandler.kt
@@ -13,7 +13,7 @@
 import io.ktor.server.request.queryString
 import io.ktor.server.response.header
 import io.ktor.server.response.respondBytes
-import org.nutmegspring.configuration.Service
+import org.nutmegspring.execution.isRepeatable
 import org.nutmegspring.identity.IdempotencyKey
 import org.nutmegspring.identity.RequestId
 import org.nutmegspring.identity.ServiceId
@@ -54,7 +54,11 @@
             ensure(service != null) { notFound(serviceId) }
             val caller = if (service.openToAll) null else parts.admission.caller(call).bind()
             val request = request(call, serviceId, id).bind()
-            val work = Work.ServiceCall(caller?.organisation?.id, serviceId, repeatable(service, request))
+            val work = Work.ServiceCall(
+                caller?.organisation?.id,
+                serviceId,
+                isRepeatable(service, request.method, request.path),
+            )
             val charge = caller?.let {
                 parts.limiter.charge(it.organisation.id, TokenCount(service.tokensPerCall)).mapLeft(::apiErrorOf).bind()
             }
@@ -79,10 +83,6 @@
         ServiceRequest(id, call.request.httpMethod.value, path + query, headers, body)
     }
 
-    private fun repeatable(service: Service, request: ServiceRequest): Boolean = service.notRepeatable.none {
-        it.method.equals(request.method, ignoreCase = true) && request.path.startsWith(it.pathPrefix)
-    }
-
     private suspend fun respond(call: ApplicationCall, answer: ServiceAnswer) {
         val contentType = answer.headers.find { it.name.equals(HttpHeaders.ContentType, ignoreCase = true) }
         answer.headers.filter { it.name.lowercase() !in HIDDEN_ANSWER_HEADERS }
