--- a/decisions/src/main/kotlin/org/nutmegspring/limits/HolderEstimates.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/limits/HolderEstimates.kt
@@ -11,6 +11,7 @@
 internal class HolderEstimates(private val settings: LimitSettings, private val self: InstanceId) {
     private var slotsOf: Map<InstanceId, Int> = emptyMap()
     private val levels = HashMap<InstanceId, Level>()
+    private val silent = HashSet<InstanceId>()
 
     /** The other holders, with the number of their slots. */
     val holders: Map<InstanceId, Int> get() = slotsOf
@@ -19,15 +20,20 @@
     fun assign(slots: Map<InstanceId, Int>) {
         slotsOf = slots - self
         levels.keys.retainAll(slotsOf.keys)
+        silent.retainAll(slotsOf.keys)
     }
 
     /** Notes that [holder] has [tokens] left. */
     fun told(holder: InstanceId, tokens: Long, now: MonotonicTime) {
+        silent.remove(holder)
         if (holder in slotsOf) levels[holder] = Level(tokens, now)
     }
 
-    /** Notes that [holder] did not answer. */
-    fun unreachable(holder: InstanceId, now: MonotonicTime): Unit = told(holder, 0, now)
+    /** Notes that [holder] did not answer. It is asked once more before it counts as having nothing. */
+    fun unreachable(holder: InstanceId, now: MonotonicTime) {
+        if (holder !in slotsOf) return
+        if (silent.add(holder)) levels.remove(holder) else levels[holder] = Level(0, now)
+    }
 
     /** Returns the sum of the estimates. */
     fun total(slot: BucketRate, now: MonotonicTime): Long = slotsOf.keys.sumOf { estimate(it, slot, now) }
@@ -35,19 +41,20 @@
     /**
      * Returns from whom to ask [needed] tokens, or an empty list when the holders are known to have less.
      *
-     * The holders with the greatest estimates are asked. When the estimates do not suffice, those that are older than
-     * the settings allow are not believed, and their holders are asked nonetheless.
+     * The holders with the greatest estimates are asked. When the estimates do not suffice, or when [doubt] is set
+     * because they were wrong before, those that are older than the settings allow are not believed, and all of their
+     * holders are asked at once.
      */
-    fun plan(needed: Long, slot: BucketRate, now: MonotonicTime): List<PlannedAsk> {
+    fun plan(needed: Long, doubt: Boolean, slot: BucketRate, now: MonotonicTime): List<PlannedAsk> {
         val estimates = slotsOf.keys.associateWith { estimate(it, slot, now) }
-        if (estimates.values.sum() >= needed) return cover(needed, estimates)
-        val doubtful = slotsOf.keys.filter { isDoubtful(it, now) }
+        val doubtful = slotsOf.keys.filter { isDoubtful(it, now) }.toSet()
+        val known = estimates.filterKeys { it !in doubtful }
+        if (known.values.sum() >= needed) return cover(needed, known)
+        if (!doubt && estimates.values.sum() >= needed) return cover(needed, estimates)
         if (doubtful.isEmpty()) return emptyList()
-        val known = estimates.filterKeys { it !in doubtful }.values.sum()
-        val share = (needed - known).coerceAtLeast(0).ceilingDivide(doubtful.size)
-        return estimates.map { (holder, estimate) ->
-            PlannedAsk(holder, if (holder in doubtful) maxOf(share, estimate) else estimate)
-        }.filter { it.tokens > 0 }
+        val share = SURPLUS * (needed - known.values.sum()).ceilingDivide(doubtful.size)
+        val asks = known.map { (holder, tokens) -> PlannedAsk(holder, tokens) } + doubtful.map { PlannedAsk(it, share) }
+        return asks.filter { it.tokens > 0 }
     }
 
     private fun cover(needed: Long, estimates: Map<InstanceId, Long>): List<PlannedAsk> {
@@ -77,6 +84,11 @@
     private fun preference(holder: InstanceId): Int = (self.value + holder.value).hashCode()
 
     private class Level(val tokens: Long, val at: MonotonicTime)
+
+    private companion object {
+        /** How much more than equal parts is asked of holders whose levels are not known. */
+        const val SURPLUS = 2
+    }
 }
 
 private fun Long.ceilingDivide(divisor: Int): Long = (this + divisor - 1) / divisor
--- a/decisions/src/main/kotlin/org/nutmegspring/limits/LimitSettings.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/limits/LimitSettings.kt
@@ -14,6 +14,8 @@
  * @property refundRetention how long after the end of a grant its holder accepts refunds
  * @property prefetch the time for whose demand an instance asks beyond its immediate need
  * @property estimateLifetime how long an instance trusts what a holder said about its level
+ * @property rounds how often an instance asks others for one request
+ * @property rebalanceDelay how long the list must be unchanged before a slot moves to an instance that holds fewer
  * @property takeOverDelay how long a holder must be absent from the platform's list, beyond the list's greatest lag
  */
 data class LimitSettings(
@@ -23,7 +25,9 @@
     val returnAllowance: Duration = 500.milliseconds,
     val refundRetention: Duration = 60.seconds,
     val prefetch: Duration = 200.milliseconds,
-    val estimateLifetime: Duration = 250.milliseconds,
+    val estimateLifetime: Duration = 100.milliseconds,
+    val rounds: Int = 6,
+    val rebalanceDelay: Duration = 30.seconds,
     val takeOverDelay: Duration = 20.seconds,
 ) {
     /**
--- a/decisions/src/main/kotlin/org/nutmegspring/limits/LimitTable.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/limits/LimitTable.kt
@@ -61,6 +61,9 @@
         return reports.groupBy { it.grant.holder }
     }
 
+    /** Returns for how many slots of all shards this instance mints at [now]. */
+    fun mintingSlots(now: MonotonicTime): Int = keepers.sumOf { it.minting(now) }
+
     /** Returns the record of [shard] as it was last observed. */
     fun slots(shard: LimitShard): SlotRecord = keepers[shard.number].record
 
--- a/decisions/src/main/kotlin/org/nutmegspring/limits/OrganisationLedger.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/limits/OrganisationLedger.kt
@@ -43,12 +43,16 @@
     /** Notes a demand of [tokens]. Call it once for each request, before [charge]. */
     fun noteDemand(tokens: Long, now: MonotonicTime): Unit = demand.add(tokens, now)
 
-    /** Charges [tokens], or says what to do instead. With [mayCollect] false it refuses rather than asks others. */
-    fun charge(tokens: Long, mayCollect: Boolean, now: MonotonicTime): ChargeDecision {
+    /**
+     * Charges [tokens], or says what to do instead.
+     *
+     * @param round how often others were asked for the same request before
+     */
+    fun charge(tokens: Long, round: Int, now: MonotonicTime): ChargeDecision {
         if (tokens > limit.burstTokens) return ChargeDecision.Refused(null)
         val lacking = tokens - available(now)
         if (lacking <= 0) return ChargeDecision.Charged(take(tokens, now))
-        val plan = if (mayCollect) estimates.plan(lacking, settings.bucketRate(limit, 1), now) else emptyList()
+        val plan = if (round < settings.rounds) plan(lacking, round, now) else emptyList()
         if (plan.isEmpty()) return refuse(tokens, now)
         return ChargeDecision.Collect(plan.map { ask(it, now) })
     }
@@ -139,6 +143,9 @@
         }
     }
 
+    private fun plan(lacking: Long, round: Int, now: MonotonicTime): List<PlannedAsk> =
+        estimates.plan(lacking, doubt = round > 0, settings.bucketRate(limit, 1), now)
+
     private fun ask(planned: PlannedAsk, now: MonotonicTime): GrantAsk {
         val wanted = demand.within(settings.prefetch, now)
         val ask = GrantAsk(planned.holder, askNumbers(), planned.tokens, wanted)
--- a/decisions/src/main/kotlin/org/nutmegspring/limits/ReceivedGrants.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/limits/ReceivedGrants.kt
@@ -40,12 +40,14 @@
     fun spend(tokens: Long, now: MonotonicTime): List<ChargePart.Granted> {
         expire(now)
         var missing = tokens
-        return open.sortedBy { it.expires }.mapNotNull { grant ->
+        val parts = open.sortedBy { it.expires }.mapNotNull { grant ->
             val taken = minOf(missing, grant.remaining)
             missing -= taken
             grant.remaining -= taken
             if (taken > 0) ChargePart.Granted(taken, grant) else null
         }
+        endWhere { it.remaining == 0L }
+        return parts
     }
 
     /** Gives [tokens] back to [grant], from which they were spent. */
@@ -79,17 +81,15 @@
         return reports
     }
 
-    private fun expire(now: MonotonicTime) {
-        open.removeIf { grant ->
-            val due = grant.expires <= now
-            if (due) end(grant)
-            due
-        }
+    private fun expire(now: MonotonicTime) = endWhere { it.expires <= now }
+
+    private fun endWhere(due: (ReceivedGrant) -> Boolean) {
+        open.removeIf { grant -> due(grant).also { if (it) end(grant) } }
     }
 
     private fun end(grant: ReceivedGrant) {
         grant.open = false
         grant.unspent = grant.remaining
-        if (grant.unspent > 0) unreported.add(grant)
+        unreported.add(grant)
     }
 }
--- a/decisions/src/main/kotlin/org/nutmegspring/limits/SlotKeeper.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/limits/SlotKeeper.kt
@@ -45,6 +45,8 @@
     private val absentSince = HashMap<SlotHolder, MonotonicTime>()
     private val mintsFrom = HashMap<Int, MonotonicTime?>()
     private val releasing = HashSet<Int>()
+    private var candidates = emptySet<InstanceId>()
+    private var candidatesSince = MonotonicTime.ZERO
     private var version: ObjectVersion? = null
     private var stopped = false
 
@@ -61,10 +63,12 @@
         noteAbsence(listing, now)
         if (stopped) return releaseAll()
         if (self.instance !in listing.instances - listing.departing) return null
-        val preferred = preferredHolders(shard, settings.slots, listing.instances - listing.departing)
-        val changed = record.slots.indices.fold(record) { changing, slot ->
+        noteCandidates(listing.instances - listing.departing, now)
+        val preferred = preferredHolders(shard, settings.slots, candidates)
+        val taken = record.slots.indices.fold(record) { changing, slot ->
             change(changing, slot, preferred[slot], listing)
         }
+        val changed = dueSlot(taken, preferred, now)?.let { taken.released(it) } ?: taken
         releasing += record.heldBy(self).filter { changed.slots[it].holder != self }
         mintsFrom -= releasing
         return changed.takeIf { it != record }
@@ -114,9 +118,8 @@
 
     private fun change(changing: SlotRecord, slot: Int, preferred: InstanceId, listing: InstanceListing): SlotRecord {
         val holder = changing.slots[slot].holder
-        val handsBack = holder == self && (slot in releasing || isDueTo(preferred, changing))
         return when {
-            handsBack -> changing.released(slot)
+            slot in releasing -> changing.released(slot)
             holder == self -> changing
             holder?.instance == self.instance -> changing.claimed(slot, self)
             preferred != self.instance -> changing
@@ -125,10 +128,17 @@
         }
     }
 
-    private fun isDueTo(preferred: InstanceId, changing: SlotRecord): Boolean {
-        if (preferred == self.instance) return false
+    /** Returns a slot of this process that is due to an instance with fewer, once the list has long been the same. */
+    private fun dueSlot(changing: SlotRecord, preferred: List<InstanceId>, now: MonotonicTime): Int? {
+        if (releasing.isNotEmpty() || now - candidatesSince < settings.rebalanceDelay) return null
         val counts = changing.countByInstance()
-        return (counts[preferred] ?: 0) < (counts[self.instance] ?: 0)
+        val own = counts[self.instance] ?: 0
+        return changing.heldBy(self).find { (counts[preferred[it]] ?: 0) < own - 1 }
+    }
+
+    private fun noteCandidates(seen: Set<InstanceId>, now: MonotonicTime) {
+        if (seen != candidates) candidatesSince = now
+        candidates = seen
     }
 
     private fun isGone(holder: SlotHolder, listing: InstanceListing): Boolean {
--- a/measure/src/main/kotlin/org/nutmegspring/measure/MeasureProvider.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/MeasureProvider.kt
@@ -2,6 +2,7 @@
 
 import org.nutmegspring.measure.confirmations.ConfirmationsMeasure
 import org.nutmegspring.measure.fault.FaultsMeasure
+import org.nutmegspring.measure.limits.LimitMeasure
 import org.nutmegspring.measure.routing.RoutingMeasure
 import org.nutmegspring.measure.usage.UsageMeasure
 
@@ -13,6 +14,7 @@
         ConfirmationsMeasure(),
         FaultsMeasure(),
         UsageMeasure(),
+        LimitMeasure(),
     )
 
     /** Returns the measure called [name], or null when there is none. */
--- a/measure/src/main/kotlin/org/nutmegspring/measure/limits/LimitScenario.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/limits/LimitScenario.kt
@@ -46,6 +46,7 @@
             prefetch = 0.3.seconds,
             clockRateTolerance = 0.01,
             refundRetention = 10.seconds,
+            rebalanceDelay = 2.seconds,
             takeOverDelay = 3.seconds,
         )
         val sound = WorldOptions(settings, instances = 5, clockSpread = 0.01)
--- a/measure/src/main/kotlin/org/nutmegspring/measure/limits/LimitWorld.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/limits/LimitWorld.kt
@@ -7,6 +7,7 @@
 import org.nutmegspring.limits.Grant
 import org.nutmegspring.limits.GrantAsk
 import org.nutmegspring.limits.LimitSettings
+import org.nutmegspring.limits.LimitShard
 import org.nutmegspring.limits.OrganisationReturn
 import org.nutmegspring.limits.TokenBucketFactory
 import org.nutmegspring.limits.tokenBucket
@@ -117,10 +118,24 @@
     private fun begin(process: SimulatedProcess) {
         listing.add(process.instance)
         process.apply(limits)
-        process.report()
+        process.keepReporting()
+        learnSlots(process)
         SlotPass(this, process).start()
     }
 
+    /** Asks another process who holds the slots, until the store has been read. */
+    private fun learnSlots(process: SimulatedProcess) {
+        val peer = processes.filter { it !== process && it.alive }.randomOrNull(random) ?: return
+        network.send(process.index, peer.index) {
+            peer.run {
+                val records = List(SHARDS) { peer.table.slots(LimitShard(it)) }
+                network.send(peer.index, process.index) {
+                    process.run { records.forEachIndexed { index, record -> process.learn(LimitShard(index), record) } }
+                }
+            }
+        }
+    }
+
     companion object {
         /** How many shards the organisations are divided into. */
         const val SHARDS = 2
--- a/measure/src/main/kotlin/org/nutmegspring/measure/limits/SimulatedProcess.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/limits/SimulatedProcess.kt
@@ -7,9 +7,11 @@
 import org.nutmegspring.limits.Grant
 import org.nutmegspring.limits.GrantAsk
 import org.nutmegspring.limits.GrantKey
+import org.nutmegspring.limits.LimitShard
 import org.nutmegspring.limits.LimitTable
 import org.nutmegspring.limits.OrganisationReturn
 import org.nutmegspring.limits.SlotHolder
+import org.nutmegspring.limits.SlotRecord
 import org.nutmegspring.limits.limitTable
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration
@@ -102,6 +104,9 @@
         table.apply(limits, now())
     }
 
+    /** Takes from a peer who holds the slots of [shard]. */
+    fun learn(shard: LimitShard, record: SlotRecord) = table.hintSlots(shard, record, now())
+
     /** Sends [asks] of [organisation] and calls [done] when each was answered or given up. */
     fun collect(organisation: OrganisationId, asks: List<GrantAsk>, done: () -> Unit) {
         val askedAt = now()
@@ -139,8 +144,13 @@
     }
 
     /** Sends what has to be reported, and goes on doing so. */
+    fun keepReporting() {
+        report()
+        after(LimitWorld.reportInterval) { keepReporting() }
+    }
+
+    /** Sends what has to be reported. */
     fun report() {
         table.takeReports(now()).forEach { (holder, returns) -> world.report(this, holder, returns) }
-        after(LimitWorld.reportInterval) { report() }
     }
 }
