--- a/measure/src/main/kotlin/org/nutmegspring/measure/engine/EngineModel.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/engine/EngineModel.kt
@@ -38,6 +38,10 @@
     var role: EngineRole = EngineRole.MIXED
         private set
 
+    /** The role that the engine has or is changing to. */
+    var planned: EngineRole = EngineRole.MIXED
+        private set
+
     /** Whether a change of role is under way. */
     var changing: Boolean = false
         private set
@@ -46,6 +50,9 @@
     var workSeconds: Double = 0.0
         private set
 
+    /** How many requests run or wait. */
+    val load: Int get() = waiting.size + streams.size
+
     /** Whether nothing runs or waits. */
     val idle: Boolean get() = waiting.isEmpty() && streams.isEmpty()
 
@@ -55,9 +62,16 @@
         startIteration()
     }
 
+    /** Sets the role before the engine is used. */
+    fun begin(initial: EngineRole) {
+        role = initial
+        planned = initial
+    }
+
     /** Changes the role to [target], once idle, and takes [duration] for it. */
     fun changeRole(target: EngineRole, duration: Duration) {
         changing = true
+        planned = target
         attemptChange(target, duration)
     }
 
--- a/measure/src/main/kotlin/org/nutmegspring/measure/routing/RoutingRun.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/routing/RoutingRun.kt
@@ -6,6 +6,9 @@
 import org.nutmegspring.identity.DataCentreId
 import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.measure.engine.EngineModel
+import org.nutmegspring.measure.roles.RoleChanges
+import org.nutmegspring.measure.roles.RoleControl
+import org.nutmegspring.measure.roles.RoleDemandMeter
 import org.nutmegspring.measure.virtual.VirtualSchedule
 import org.nutmegspring.routing.EngineCosts
 import org.nutmegspring.routing.FleetView
@@ -27,6 +30,7 @@
     val traffic: TrafficSetting,
     val seed: Long,
     val admission: Boolean = false,
+    val besideStreamsFactor: Double = 1.0,
     val length: Duration = 75.seconds,
     val warmUp: Duration = 15.seconds,
 )
@@ -50,9 +54,12 @@
 )
 
 /** Runs one policy at seven instances, each with its own view of the engines, on virtual time. */
-class RoutingRun(private val setting: RoutingRunSetting) {
+class RoutingRun(private val setting: RoutingRunSetting, private val roles: RoleControl? = null) {
     private val schedule = VirtualSchedule()
-    private val costs = EngineCosts(farRequestSeconds = setting.office.distance.toDouble(DurationUnit.SECONDS) * 2)
+    private val costs = EngineCosts(
+        farRequestSeconds = setting.office.distance.toDouble(DurationUnit.SECONDS) * 2,
+        besideStreamsFactor = setting.besideStreamsFactor,
+    )
     private val random = Random(setting.seed)
     private val reportRandom = Random(random.nextLong())
     private val traffic = Traffic(setting.traffic, Random(random.nextLong()))
@@ -62,6 +69,7 @@
     }
     private val instances = List(INSTANCES) { entryInstance(it) }
     private val outcomes = RequestOutcomes()
+    private val demandMeter = RoleDemandMeter()
     private val imbalances = ArrayList<Double>()
     private var workSeconds = engines.map { it.workSeconds }
     private val warmUpEnd = MonotonicTime.ZERO + setting.warmUp
@@ -72,6 +80,7 @@
         engines.forEachIndexed { index, engine -> scheduleReport(engine, REPORT_INTERVAL * (index + 1) / engines.size) }
         scheduleArrival()
         scheduleImbalance()
+        roles?.let { RoleChanges(engines, it, schedule, demandMeter).start() }
         schedule.runUntil(end + DRAIN)
         val seconds = (end - warmUpEnd).inWholeMilliseconds / MILLISECONDS_PER_SECOND
         return RoutingRunResult(
@@ -150,6 +159,7 @@
     }
 
     private fun start(tracked: TrackedRequest, placement: Placement, origin: DataCentreId) {
+        demandMeter.count(placement.expectedUncachedTokens, tracked.demand.outputTokens)
         val near = placement.prefill.dataCentre == origin
         schedule.after(if (near) Duration.ZERO else setting.office.distance) {
             tracked.start(engine(placement.prefill.id), engine(placement.decode.id), costs)
--- a/measure/src/main/kotlin/org/nutmegspring/measure/routing/Traffic.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/routing/Traffic.kt
@@ -22,8 +22,31 @@
     val swingSeconds: Double = 90.0,
     val swingAmplitude: Double = 0.4,
     val groups: Int = 400,
+    val swingShape: SwingShape = SwingShape.SINE,
 )
 
+/** How the mix moves within a period. */
+enum class SwingShape {
+    /** Smoothly. */
+    SINE,
+
+    /** From one extreme to the other at once. */
+    SQUARE,
+
+    /** Slowly up and at once down. */
+    SAWTOOTH,
+    ;
+
+    /** Returns the deviation, from -1 to 1, at [phase] periods. */
+    fun deviation(phase: Double): Double = when (this) {
+        SINE -> sin(2 * PI * phase)
+        SQUARE -> if (phase % 1 < HALF_PERIOD) 1.0 else -1.0
+        SAWTOOTH -> 2 * (phase % 1) - 1
+    }
+}
+
+private const val HALF_PERIOD = 0.5
+
 /** A request that arrives [delaySeconds] after the one before. */
 class OfferedRequest(
     val delaySeconds: Double,
@@ -56,7 +79,8 @@
         return ORGANISATIONS[ORGANISATION_SHARES.indexOfFirst { drawn < it }]
     }
 
-    private fun longShare(): Double = HALF + setting.swingAmplitude * sin(2 * PI * seconds / setting.swingSeconds)
+    private fun longShare(): Double =
+        HALF + setting.swingAmplitude * setting.swingShape.deviation(seconds / setting.swingSeconds)
 
     private fun pieces(group: Int, count: Int): LongArray =
         if (setting.sharedPrefixes) {
--- a/measure/src/test/kotlin/org/nutmegspring/measure/routing/RoutingRunSpec.kt
+++ b/measure/src/test/kotlin/org/nutmegspring/measure/routing/RoutingRunSpec.kt
@@ -17,7 +17,7 @@
     ): RoutingRunResult {
         val traffic = TrafficSetting(rate * Office.AMMAN.engines, shared)
         return RoutingRun(
-            RoutingRunSetting(Office.AMMAN, policy, traffic, seed, admission, 30.seconds, 10.seconds),
+            RoutingRunSetting(Office.AMMAN, policy, traffic, seed, admission, 1.0, 30.seconds, 10.seconds),
         ).run()
     }
 
