--- a/measure/src/main/kotlin/org/nutmegspring/measure/routing/EntryModel.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/routing/EntryModel.kt
@@ -29,6 +29,9 @@
         /** For whom it runs. */
         val organisation: OrganisationId
 
+        /** It arrived and would best go to [placement]. */
+        fun onOffered(placement: Placement)
+
         /** It goes to [placement]. */
         fun onPlaced(placement: Placement)
 
@@ -39,6 +42,7 @@
     /** Takes [request]. */
     fun offer(request: HeldRequest) {
         val placement = router.choose(request.demand, schedule.now()) ?: return request.onRefused()
+        request.onOffered(placement)
         if (admission == null ||
             (admission.size == 0 && admission.meetsGoals(placement))
         ) {
--- a/measure/src/main/kotlin/org/nutmegspring/measure/routing/RoutingRun.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/routing/RoutingRun.kt
@@ -152,14 +152,13 @@
         val instance = instances[random.nextInt(INSTANCES)]
         val outcomes = outcomes.takeIf { counted }
         instance.offer(
-            TrackedRequest(request, schedule, outcomes, instance.dataCentre) { tracked, placement ->
+            TrackedRequest(request, schedule, outcomes, instance.dataCentre, demandMeter) { tracked, placement ->
                 start(tracked, placement, instance.dataCentre)
             },
         )
     }
 
     private fun start(tracked: TrackedRequest, placement: Placement, origin: DataCentreId) {
-        demandMeter.count(placement.expectedUncachedTokens, tracked.demand.outputTokens)
         val near = placement.prefill.dataCentre == origin
         schedule.after(if (near) Duration.ZERO else setting.office.distance) {
             tracked.start(engine(placement.prefill.id), engine(placement.decode.id), costs)
--- a/measure/src/main/kotlin/org/nutmegspring/measure/routing/TrackedRequest.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/routing/TrackedRequest.kt
@@ -6,6 +6,7 @@
 import org.nutmegspring.measure.engine.EngineJobListener
 import org.nutmegspring.measure.engine.EngineModel
 import org.nutmegspring.measure.engine.JobPart
+import org.nutmegspring.measure.roles.RoleDemandMeter
 import org.nutmegspring.measure.virtual.VirtualSchedule
 import org.nutmegspring.prompt.TOKENS_PER_PIECE
 import org.nutmegspring.routing.EngineCosts
@@ -21,6 +22,7 @@
     private val schedule: VirtualSchedule,
     private val outcomes: RequestOutcomes?,
     origin: DataCentreId,
+    private val demandMeter: RoleDemandMeter,
     private val placed: (TrackedRequest, Placement) -> Unit,
 ) : EngineJobListener,
     EntryModel.HeldRequest {
@@ -32,6 +34,9 @@
 
     override val organisation: OrganisationId get() = request.organisation
 
+    override fun onOffered(placement: Placement) =
+        demandMeter.count(placement.expectedUncachedTokens, request.outputTokens)
+
     override fun onPlaced(placement: Placement) = placed(this, placement)
 
     override fun onRefused() {
