--- a/decisions/src/main/kotlin/org/nutmegspring/roles/RoleDemand.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/roles/RoleDemand.kt
@@ -27,9 +27,8 @@
 fun possibleRoleCounts(engines: Int): List<RoleCounts> = buildList {
     for (prefill in 0 until engines) {
         for (decode in 0..engines - prefill) {
-            val counts = RoleCounts(prefill, decode, engines - prefill - decode)
-            val pairs = prefill > 0 && decode > 0
-            if (pairs || (prefill == 0 && decode == 0 && counts.mixed > 0)) add(counts)
+            val paired = (prefill > 0) == (decode > 0)
+            if (paired) add(RoleCounts(prefill, decode, engines - prefill - decode))
         }
     }
 }
