Close the inner side without a warning

Cause: closing the listener wakes the coroutine that accepts before the socket counts as closed, and it warned. It now asks whether its scope still runs, and the scope ends first.

--- a/protocol/src/main/kotlin/org/nutmegspring/protocol/InnerServer.kt
+++ b/protocol/src/main/kotlin/org/nutmegspring/protocol/InnerServer.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
@@ -56,7 +57,7 @@
     private suspend fun accept(server: ServerSocket): Socket? = try {
         server.accept()
     } catch (cause: IOException) {
-        if (!server.isClosed) logger.warn(cause) { "accepting a connection failed" }
+        if (currentCoroutineContext().isActive) logger.warn(cause) { "accepting a connection failed" }
         delay(ACCEPT_RETRY_DELAY)
         null
     }
--- a/protocol/src/main/kotlin/org/nutmegspring/protocol/InnerTransport.kt
+++ b/protocol/src/main/kotlin/org/nutmegspring/protocol/InnerTransport.kt
@@ -64,9 +64,9 @@
 
     /** Closes every connection. Exchanges that run fail. */
     fun close() {
+        scope.cancel()
         listener?.close()
         links.close()
-        scope.cancel()
         selector.close()
     }
 
