Measure what an instance adds to a call

Cause: nothing told what the way through an instance costs. measure path calls the engine stand-in directly and through an instance in random order in one run. The fleet of the demo moved to where both can use it, and measures log errors only. The client opens a connection for each call to an engine; that is the next thing to look at.

--- a/command-line/src/main/kotlin/org/nutmegspring/commandline/demo/DemoCommand.kt
+++ b/command-line/src/main/kotlin/org/nutmegspring/commandline/demo/DemoCommand.kt
@@ -8,6 +8,9 @@
 import org.nutmegspring.commandline.CommandContext
 import org.nutmegspring.commandline.ExitCode
 import org.nutmegspring.commandline.waitForStop
+import org.nutmegspring.configuration.TokenRate
+import org.nutmegspring.measure.fleet.LocalFleet
+import org.nutmegspring.measure.fleet.LocalFleetSettings
 import org.nutmegspring.node.observe.configureLogs
 import org.nutmegspring.node.settings.LogFormat
 import org.nutmegspring.node.settings.LogLevel
@@ -22,21 +25,22 @@
 
     override fun execute() {
         configureLogs(LogSettings(LogFormat.TEXT, LogLevel.WARN))
-        val fleet = DemoFleet()
+        val fleet = LocalFleet(LocalFleetSettings(rate = RATE))
         if (once) runOnce(fleet) else stay(fleet)
     }
 
-    private fun runOnce(fleet: DemoFleet) = fleet.use {
+    private fun runOnce(fleet: LocalFleet) = fleet.use {
         val good = DemoCalls(fleet.instances.first().callerAddress, fleet.key, context.out).use { calls ->
             runBlocking { calls.run() }
         }
         if (!good) context.exitCode = ExitCode.FAILURE
     }
 
-    private fun stay(fleet: DemoFleet) {
+    private fun stay(fleet: LocalFleet) {
         val address = fleet.instances.first().callerAddress
         context.out.println("instances: ${fleet.instances.joinToString { "http://${it.callerAddress}" }}")
         context.out.println("key: ${fleet.key}")
+        context.out.println("operator token: ${fleet.operatorToken}")
         context.out.println()
         context.out.println("curl -N http://$address/v1/chat/completions \\")
         context.out.println("  -H 'Authorization: Bearer ${fleet.key}' -H 'Content-Type: application/json' \\")
@@ -45,4 +49,8 @@
         context.out.println("Interrupt to stop.")
         waitForStop { fleet.close() }
     }
+
+    private companion object {
+        val RATE = TokenRate(tokensPerSecond = 2_000, burstTokens = 10_000)
+    }
 }
--- a/command-line/src/main/kotlin/org/nutmegspring/commandline/measure/MeasureCommand.kt
+++ b/command-line/src/main/kotlin/org/nutmegspring/commandline/measure/MeasureCommand.kt
@@ -11,6 +11,10 @@
 import org.nutmegspring.measure.MeasureProvider
 import org.nutmegspring.measure.MeasureRequest
 import org.nutmegspring.measure.report.MeasureReport
+import org.nutmegspring.node.observe.configureLogs
+import org.nutmegspring.node.settings.LogFormat
+import org.nutmegspring.node.settings.LogLevel
+import org.nutmegspring.node.settings.LogSettings
 
 /** Runs a measure and prints its report. */
 @OptIn(ExperimentalCli::class)
@@ -27,6 +31,7 @@
             ?: return context.fail("no measure '$measureName'${hint()}", ExitCode.USAGE)
         val seedNumber = seed.toLongOrNull()
             ?: return context.fail("the seed '$seed' is not a whole number", ExitCode.USAGE)
+        configureLogs(LogSettings(LogFormat.TEXT, LogLevel.ERROR))
         val report = measure.run(MeasureRequest(seedNumber, steps)) { context.err.println(it) }
         context.out.println(if (json) JSON.encodeToString(MeasureReport.serializer(), report) else table(report))
         if (report.goals.any { !it.met }) context.exitCode = ExitCode.GOAL_MISSED
--- a/measure/src/main/kotlin/org/nutmegspring/measure/MeasureProvider.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/MeasureProvider.kt
@@ -3,6 +3,7 @@
 import org.nutmegspring.measure.confirmations.ConfirmationsMeasure
 import org.nutmegspring.measure.fault.FaultsMeasure
 import org.nutmegspring.measure.limits.LimitMeasure
+import org.nutmegspring.measure.path.PathMeasure
 import org.nutmegspring.measure.roles.RolesMeasure
 import org.nutmegspring.measure.routing.RoutingMeasure
 import org.nutmegspring.measure.usage.UsageMeasure
@@ -11,6 +12,7 @@
 class MeasureProvider {
     /** All measures in the order in which the help text lists them. */
     val measures: List<Measure> = listOf(
+        PathMeasure(),
         RoutingMeasure(),
         RolesMeasure(),
         ConfirmationsMeasure(),
--- a/command-line/src/main/kotlin/org/nutmegspring/commandline/demo/DemoFleet.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/fleet/LocalFleet.kt
@@ -1,5 +1,10 @@
-package org.nutmegspring.commandline.demo
+package org.nutmegspring.measure.fleet
 
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.request.get
+import io.ktor.http.isSuccess
+import kotlinx.coroutines.delay
 import org.nutmegspring.configuration.ApiKey
 import org.nutmegspring.configuration.CallPattern
 import org.nutmegspring.configuration.OperatorName
@@ -25,15 +30,31 @@
 import org.nutmegspring.platform.ListedInstance
 import org.nutmegspring.platform.ListedState
 import org.nutmegspring.platform.WriteCondition
+import org.nutmegspring.standin.engine.EngineCost
 import org.nutmegspring.standin.engine.EngineStandIn
 import org.nutmegspring.standin.engine.EngineStandInSettings
 import org.nutmegspring.standin.platform.PlatformStandIn
 import org.nutmegspring.standin.service.ServiceStandIn
-
-/** A small fleet in one process: stand-ins, three instances and two organisations. */
-class DemoFleet : AutoCloseable {
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * The size of a fleet in one process.
+ *
+ * @property rate the rate of each organisation
+ */
+data class LocalFleetSettings(
+    val instances: Int = 3,
+    val dataCentres: Int = 2,
+    val enginesPerDataCentre: Int = 2,
+    val cost: EngineCost = EngineCost(),
+    val rate: TokenRate = TokenRate(tokensPerSecond = 100_000_000, burstTokens = 100_000_000),
+)
+
+/** A small fleet in one process: stand-ins, instances and two organisations. */
+class LocalFleet(private val settings: LocalFleetSettings = LocalFleetSettings()) : AutoCloseable {
     private val owned = ArrayDeque<AutoCloseable>()
     private val platform = PlatformStandIn()
+    private val dataCentres = DATA_CENTRES.take(settings.dataCentres)
 
     /** The key of the first organisation. */
     val key: String = "nsk_demo-theatre"
@@ -41,59 +62,67 @@
     /** The token of the operator. */
     val operatorToken: String = "demo-operator"
 
+    /** The engines, in the order of [engineAddresses]. */
+    val engines: MutableList<EngineStandIn> = mutableListOf()
+
+    /** The addresses of the engines. */
+    val engineAddresses: List<String>
+
     /** The instances. */
     val instances: List<Instance>
 
     init {
         val platformAddress = platform.start(HOST, 0).also { owned.addFirst(it) }.address
-        DATA_CENTRES.forEach { dataCentre -> repeat(ENGINES_PER_DATA_CENTRE) { startEngine(dataCentre, it + 1) } }
+        engineAddresses = dataCentres.flatMap { dataCentre ->
+            (1..settings.enginesPerDataCentre).map { startEngine(dataCentre, it) }
+        }
         startService()
         configure()
-        instances = (1..INSTANCES).map { number ->
-            startInstance(settings(number, platformAddress)).also {
-                owned.addFirst(it)
-                list(it, number)
-            }
+        instances = (1..settings.instances).map { startListedInstance(instanceSettings(it, platformAddress)) }
+    }
+
+    /** Waits until every instance is ready. */
+    suspend fun awaitReady() = HttpClient(CIO).use { client ->
+        instances.forEach { instance ->
+            while (!client.get("http://${instance.callerAddress}/readyz").status.isSuccess()) delay(READY_INTERVAL)
         }
     }
 
     override fun close() = owned.forEach { it.close() }
 
-    private fun startEngine(dataCentre: DataCentreId, number: Int) {
+    private fun startListedInstance(settings: Settings): Instance {
+        val instance = startInstance(settings).also { owned.addFirst(it) }
+        val id = settings.instance.id
+        val dataCentre = settings.instance.dataCentre
+        val listed =
+            ListedInstance(id, dataCentre, instance.callerAddress, instance.innerAddress, ListedState.LIVE)
+        platform.instances.set(id, listed)
+        return instance
+    }
+
+    private fun startEngine(dataCentre: DataCentreId, number: Int): String {
         val id = EndpointId("engine-$dataCentre-$number")
         val unbound = EndpointDescription(id, EndpointKind.Engine, dataCentre, "$HOST:0")
-        val engine = EngineStandIn(EngineStandInSettings(unbound)).also { owned.addFirst(it) }
-        list(unbound.copy(address = engine.start(HOST, 0).address))
+        val engine = EngineStandIn(EngineStandInSettings(unbound, cost = settings.cost))
+        owned.addFirst(engine)
+        engines.add(engine)
+        val address = engine.start(HOST, 0).address
+        list(unbound.copy(address = address))
+        return address
     }
 
     private fun startService() {
         val server = ServiceStandIn(SERVICE.value).start(HOST, 0).also { owned.addFirst(it) }
-        val id = EndpointId("tags-${DATA_CENTRES.first()}-1")
-        list(EndpointDescription(id, EndpointKind.Plain(SERVICE), DATA_CENTRES.first(), server.address))
+        val id = EndpointId("tags-${dataCentres.first()}-1")
+        list(EndpointDescription(id, EndpointKind.Plain(SERVICE), dataCentres.first(), server.address))
     }
 
     private fun list(endpoint: EndpointDescription) =
         platform.endpoints.set(endpoint.id, ListedEndpoint(endpoint, ListedState.LIVE))
 
-    private fun list(instance: Instance, number: Int) {
-        val id = instanceId(number)
-        val listed = ListedInstance(
-            id,
-            dataCentreOf(number),
-            instance.callerAddress,
-            instance.innerAddress,
-            ListedState.LIVE,
-        )
-        platform.instances.set(id, listed)
-    }
-
-    private fun instanceId(number: Int) = InstanceId("entry-$number")
-
-    private fun dataCentreOf(number: Int) = DATA_CENTRES[number % DATA_CENTRES.size]
-
     private fun configure() {
         val organisations = listOf("theatre", "festival").map { name ->
-            Organisation(OrganisationId(name), name, TokenRate(tokensPerSecond = 2_000, burstTokens = 10_000))
+            Organisation(OrganisationId(name), name, settings.rate)
         }
         val apiKey = ApiKey(KeyId("demo"), organisations.first().id, hashOf(key))
         val service = Service(SERVICE, notRepeatable = listOf(CallPattern("POST", "/confirm")))
@@ -105,9 +134,9 @@
         }
     }
 
-    private fun settings(number: Int, platformAddress: String): Settings {
-        val id = instanceId(number)
-        val dataCentre = dataCentreOf(number)
+    private fun instanceSettings(number: Int, platformAddress: String): Settings {
+        val id = InstanceId("entry-$number")
+        val dataCentre = dataCentres[number % dataCentres.size]
         val text = """
             instance: { id: $id, dataCentre: $dataCentre }
             callers: { address: "$HOST:0" }
@@ -120,8 +149,7 @@
 
     private companion object {
         const val HOST = "127.0.0.1"
-        const val INSTANCES = 3
-        const val ENGINES_PER_DATA_CENTRE = 2
+        val READY_INTERVAL = 50.milliseconds
         val DATA_CENTRES = listOf(DataCentreId("rennes"), DataCentreId("brest"))
         val SERVICE = ServiceId("tags")
     }
