--- a/command-line/src/main/kotlin/org/nutmegspring/commandline/ServeCommand.kt
+++ b/command-line/src/main/kotlin/org/nutmegspring/commandline/ServeCommand.kt
@@ -22,6 +22,8 @@
             configureLogs(loaded.logs)
             try {
                 val instance = startInstance(loaded)
+                val addresses = "callers at ${instance.callerAddress} and instances at ${instance.innerAddress}"
+                context.out.println("instance ${loaded.instance.id} serves $addresses")
                 waitForStop {
                     runBlocking { instance.drain() }
                     instance.close()
--- a/stand-ins/src/main/kotlin/org/nutmegspring/standin/service/ServiceStandIn.kt
+++ b/stand-ins/src/main/kotlin/org/nutmegspring/standin/service/ServiceStandIn.kt
@@ -12,6 +12,7 @@
 import io.ktor.server.routing.get
 import io.ktor.server.routing.route
 import io.ktor.server.routing.routing
+import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import org.nutmegspring.endpoint.EngineProtocol
@@ -30,6 +31,13 @@
     val execution: Long,
 )
 
+/** How many calls have run, and how many at most with one idempotency key. */
+@Serializable
+data class ExecutionCounts(
+    val total: Long,
+    val mostOfOneKey: Long,
+)
+
 /** A small plain service that counts its executions by idempotency key, so that a repeat shows. */
 class ServiceStandIn(private val name: String) {
     private val executions = AtomicLong()
@@ -51,7 +59,7 @@
     /** Serves calls at [host] and [port]; port 0 takes a free one. */
     fun start(host: String, port: Int): StandInServer = startStandInServer(host, port) {
         routing {
-            get(EXECUTIONS_PATH) { call.respondText(executed.toString()) }
+            get(EXECUTIONS_PATH) { call.json(ExecutionCounts.serializer(), counts()) }
             route("{path...}") { handle { call.execute() } }
         }
     }
@@ -66,10 +74,17 @@
         val id = request.header(EngineProtocol.REQUEST_ID_HEADER)
         id?.let { response.header(EngineProtocol.REQUEST_ID_HEADER, it) }
         val answer = ServiceAnswer(name, request.httpMethod.value, request.path(), body, execution)
-        respondText(Json.encodeToString(ServiceAnswer.serializer(), answer), ContentType.Application.Json)
+        json(ServiceAnswer.serializer(), answer)
     }
 
-    private companion object {
-        const val EXECUTIONS_PATH = "/executions"
+    private fun counts() = ExecutionCounts(executed, mostExecutionsOfOneKey)
+
+    private suspend fun <T> ApplicationCall.json(serializer: KSerializer<T>, value: T) =
+        respondText(Json.encodeToString(serializer, value), ContentType.Application.Json)
+
+    /** Holds the path of the counters. */
+    companion object {
+        /** Answers with [ExecutionCounts] and counts as no execution. */
+        const val EXECUTIONS_PATH: String = "/executions"
     }
 }
