--- a/measure/src/main/kotlin/org/nutmegspring/measure/path/StreamCaller.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/path/StreamCaller.kt
@@ -55,7 +55,8 @@
     override fun close() = client.close()
 
     private fun body(number: Int) =
-        """{"model":"ledger-small","stream":true,"max_tokens":$tokens,"messages":[{"role":"user","content":"$number"}]}"""
+        """{"model":"ledger-small","stream":true,"max_tokens":$tokens,""" +
+            """"messages":[{"role":"user","content":"$number"}]}"""
 
     private companion object {
         const val MAXIMUM_CONNECTIONS = 1_000
