Charge requests to limits shared over the instances

Every instance takes slots of the limits in the store, exchanges grants with the others over the inner protocol, and hands its slots back in a planned stop.

--- a/node/src/main/kotlin/org/nutmegspring/node/instance/Instance.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/instance/Instance.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.runBlocking
 import org.nutmegspring.execution.AttemptPolicy
 import org.nutmegspring.execution.RetryBudget
+import org.nutmegspring.limits.SlotHolder
 import org.nutmegspring.node.administration.AdministrationRoutes
 import org.nutmegspring.node.control.UsageParts
 import org.nutmegspring.node.control.UsageRuntime
@@ -28,7 +29,8 @@
 import org.nutmegspring.node.execution.ResumingExecution
 import org.nutmegspring.node.execution.ServiceAttempts
 import org.nutmegspring.node.execution.TicketRoutes
-import org.nutmegspring.node.limits.UnlimitedRateLimiter
+import org.nutmegspring.node.limits.LimiterParts
+import org.nutmegspring.node.limits.sharedRateLimiter
 import org.nutmegspring.node.observe.telemetry
 import org.nutmegspring.node.routing.ChooserIntervals
 import org.nutmegspring.node.routing.ChooserSources
@@ -107,7 +109,17 @@
         ChooserIntervals(list = settings.endpoints.listIntervalMilliseconds.milliseconds),
         telemetry.meters,
     ).also { it.start(scope) }
-    private val limiter = UnlimitedRateLimiter()
+    private val limiter = sharedRateLimiter(
+        LimiterParts(
+            SlotHolder(settings.instance.id, inner.incarnation),
+            configuration.configuration,
+            inner.transport,
+            platform,
+            platform,
+            telemetry.meters,
+            clock,
+        ),
+    ).also { it.start(inner.membership, scope) }
 
     private val attemptPolicy = AttemptPolicy(RetryBudget())
     private val generations = ResumingExecution(chooser, EngineClient(client, telemetry), clock, attemptPolicy)
@@ -140,6 +152,7 @@
     init {
         inner.life.onRelease { services.awaitIdle() }
         inner.life.onRelease { usage.release() }
+        inner.life.onRelease { limiter.stop() }
     }
 
     private val admission = Admission(configuration, settings.callers)
--- a/node/src/test/kotlin/org/nutmegspring/node/TestFleet.kt
+++ b/node/src/test/kotlin/org/nutmegspring/node/TestFleet.kt
@@ -51,6 +51,7 @@
     private val service = ServiceId("tags")
     val key = "nsk_secret-of-the-caller"
     val operatorToken = "token-of-the-operator"
+    val smallKey = "nsk_secret-of-a-small-caller"
     val platform = PlatformStandIn()
     val services = ServiceStandIn(service.value)
     val engines: List<EngineStandIn>
@@ -117,10 +118,12 @@
 
     private fun configure() {
         val organisation = Organisation(OrganisationId("theatre"), "Theatre", TokenRate(1_000_000, 1_000_000))
-        val apiKey = ApiKey(KeyId("k1"), organisation.id, hashOf(key))
+        val small = Organisation(OrganisationId("small"), "Small", TokenRate(10, 300))
         val values = listOf(
             PartValue.OrganisationValue(organisation),
-            PartValue.KeyValue(apiKey),
+            PartValue.OrganisationValue(small),
+            PartValue.KeyValue(ApiKey(KeyId("k1"), organisation.id, hashOf(key))),
+            PartValue.KeyValue(ApiKey(KeyId("k2"), small.id, hashOf(smallKey))),
             PartValue.ServiceValue(Service(service, notRepeatable = listOf(CallPattern("POST", "/confirm")))),
         )
         initialChain(values, OperatorName("test")).forEach { (key, text) ->
