--- a/node/src/main/kotlin/org/nutmegspring/node/limits/GrantExchange.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/limits/GrantExchange.kt
@@ -61,7 +61,7 @@
         }
     }
 
-    /** Asks [peer] who holds the slots, and returns whether it answered. */
+    /** Asks [peer] who holds the slots, and returns whether it knew. */
     suspend fun learnSlots(peer: InstanceId): Boolean {
         val reply = network.exchange(peer, SlotHoldersRequest, reportTimeout).getOrNull() as? SlotHoldersReply
             ?: return false
@@ -74,7 +74,7 @@
                 hintSlots(LimitShard(shard), SlotRecord(slots.map(::entry)), now)
             }
         }
-        return true
+        return reply.shards.any { slots -> slots.any { it.instance != null } }
     }
 
     override suspend fun handle(from: InstanceId, request: InnerRequest): InnerReply? = when (request) {
--- a/node/src/main/kotlin/org/nutmegspring/node/limits/SharedRateLimiter.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/limits/SharedRateLimiter.kt
@@ -102,8 +102,10 @@
         Failure(Step.CHARGE, Peer.SELF, Effect.NOT_RUN, message, retryAfter).left()
 
     private suspend fun learnSlots(membership: Membership) {
-        while (membership.peers().none { exchange.learnSlots(it.id) }) delay(retryInterval)
-        slotsKnown.complete(Unit)
+        while (!slotsKnown.isCompleted) {
+            if (membership.peers().any { exchange.learnSlots(it.id) }) slotsKnown.complete(Unit)
+            delay(retryInterval)
+        }
     }
 
     private data class Decided(val decision: ChargeDecision?, val at: MonotonicTime)
@@ -122,7 +124,7 @@
     }
 
     private companion object {
-        val mostStartDelay = 2.seconds
+        val mostStartDelay = 5.seconds
         val retryInterval = 100.milliseconds
     }
 }
