--- a/node/src/main/kotlin/org/nutmegspring/node/limits/SharedRateLimiter.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/limits/SharedRateLimiter.kt
@@ -124,7 +124,7 @@
     }
 
     private companion object {
-        val mostStartDelay = 5.seconds
+        val startPeriod = 5.seconds
         val retryInterval = 100.milliseconds
     }
 }
--- a/node/src/test/kotlin/org/nutmegspring/node/limits/SharedRateLimiterSpec.kt
+++ b/node/src/test/kotlin/org/nutmegspring/node/limits/SharedRateLimiterSpec.kt
@@ -35,7 +35,7 @@
     inner class `given an organisation with a small rate and burst` {
         @Test
         fun `it is served up to its burst and then told when to come back`() {
-            val answers = List(5) { post(maximumTokens = 100) }
+            val answers = List(30) { post(maximumTokens = 100) }
             assertEquals(HttpStatusCode.OK, answers.first().status)
             val refused = answers.first { it.status != HttpStatusCode.OK }
             assertEquals(HttpStatusCode.TooManyRequests, refused.status)
