--- a/node/src/main/kotlin/org/nutmegspring/node/limits/GrantExchange.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/limits/GrantExchange.kt
@@ -137,7 +137,7 @@
     }
 
     private companion object {
-        val askTimeout = 100.milliseconds
+        val askTimeout = 250.milliseconds
         val reportInterval = 100.milliseconds
         val reportTimeout = 500.milliseconds
     }
