Divide the organisations into fewer shards

Cause: with 64 shards a starting fleet wrote 64 records before its first charge. Seen: 16 shards, the specs of the limiter and of execution pass on a machine without other load; they failed earlier with refusals (429) on one that ran four builds, where asks of 250 ms timed out. Conclusion: asks under heavy load need another look.

--- a/node/src/main/kotlin/org/nutmegspring/node/limits/GrantExchange.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/limits/GrantExchange.kt
@@ -74,7 +74,7 @@
                 hintSlots(LimitShard(shard), SlotRecord(slots.map(::entry)), now)
             }
         }
-        return reply.shards.any { slots -> slots.any { it.instance != null } }
+        return reply.shards.all { slots -> slots.any { it.instance != null } }
     }
 
     override suspend fun handle(from: InstanceId, request: InnerRequest): InnerReply? = when (request) {
--- a/node/src/main/kotlin/org/nutmegspring/node/limits/SharedRateLimiterFactory.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/limits/SharedRateLimiterFactory.kt
@@ -38,4 +38,4 @@
 }
 
 /** Into how many shards the organisations are divided. All instances must agree on it for the life of the fleet. */
-private const val SHARDS = 64
+private const val SHARDS = 16
--- a/node/src/main/kotlin/org/nutmegspring/node/limits/SlotDuty.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/limits/SlotDuty.kt
@@ -34,13 +34,13 @@
     private val lists: PlatformLists,
     private val clock: MonotonicClock,
 ) {
-    /** Makes a pass now and then until the coroutine is cancelled. Calls [settled] when slots are held. */
+    /** Makes a pass now and then until the coroutine is cancelled. Calls [settled] when slots of all shards are held. */
     suspend fun run(settled: () -> Unit): Nothing {
         while (true) {
             val changes = pass().getOrNull()
             limits.use { now -> tick(now) }
-            if (changes == 0 && anyHeld()) settled()
-            delay(if (changes == 0 && anyHeld()) interval else intervalAfterChange)
+            if (allHeld()) settled()
+            delay(if (changes == 0 && allHeld()) interval else intervalAfterChange)
         }
     }
 
@@ -54,8 +54,8 @@
         (0 until shards).count { decide(LimitShard(it), found[keyOf(LimitShard(it))], listing) }
     }
 
-    private fun anyHeld(): Boolean = limits.use {
-        (0 until shards).any { shard -> slots(LimitShard(shard)).slots.any { it.holder != null } }
+    private fun allHeld(): Boolean = limits.use {
+        (0 until shards).all { shard -> slots(LimitShard(shard)).slots.any { it.holder != null } }
     }
 
     private suspend fun decide(shard: LimitShard, found: VersionedObject?, listing: InstanceListing): Boolean {
