--- a/node/src/main/kotlin/org/nutmegspring/node/limits/SlotDuty.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/limits/SlotDuty.kt
@@ -34,7 +34,7 @@
     private val lists: PlatformLists,
     private val clock: MonotonicClock,
 ) {
-    /** Makes a pass now and then until the coroutine is cancelled. Calls [settled] when slots of all shards are held. */
+    /** Makes passes until the coroutine is cancelled. Calls [settled] when slots of all shards are held. */
     suspend fun run(settled: () -> Unit): Nothing {
         while (true) {
             val changes = pass().getOrNull()
