Measure the slopes of the control work and work out the target size

Cause: nothing told what the control work costs at 780 instances and 24,000 organisations. measure capacity takes memory, time and message sizes at several sizes, fits lines, and adds them up against the budget of an instance. Heap differences below about 16 MB read as 0, so several copies are measured together.

--- a/measure/src/main/kotlin/org/nutmegspring/measure/MeasureProvider.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/MeasureProvider.kt
@@ -1,5 +1,6 @@
 package org.nutmegspring.measure
 
+import org.nutmegspring.measure.capacity.CapacityMeasure
 import org.nutmegspring.measure.confirmations.ConfirmationsMeasure
 import org.nutmegspring.measure.fault.FaultsMeasure
 import org.nutmegspring.measure.limits.LimitMeasure
@@ -19,6 +20,7 @@
         FaultsMeasure(),
         UsageMeasure(),
         LimitMeasure(),
+        CapacityMeasure(),
     )
 
     /** Returns the measure called [name], or null when there is none. */
