Name the numbers of the capacity model and read the head as the instances do

Cause: the linter found numbers without a name; the model took watches where instances read the head of the configuration (2 a data centre each second) and 2 writes a change where there are 3.

--- a/measure/src/main/kotlin/org/nutmegspring/measure/capacity/CapacityModel.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/capacity/CapacityModel.kt
@@ -36,20 +36,20 @@
             coreShare = changes * slopes.configurationApply.at(CapacityTarget.ORGANISATIONS) / MICROSECONDS,
             bytes = slopes.configurationMemory.at(CapacityTarget.ORGANISATIONS),
             bytesPerSecond = changes * slopes.changeBytes * COPIES_OF_A_CHANGE,
-            storeReadsPerSecond = CapacityTarget.DATA_CENTRES * WATCHERS / WATCH_SECONDS + changes,
+            storeReadsPerSecond = (CapacityTarget.DATA_CENTRES * READERS_OF_HEAD).toDouble(),
             storeWritesPerSecond = changes * WRITES_OF_A_CHANGE,
         )
     }
 
     private fun keys() = ControlShare(
         role = "keys",
-        coreShare = CapacityTarget.requestsOfInstance * slopes.authentication.at(CapacityTarget.ORGANISATIONS) /
+        coreShare = CapacityTarget.REQUESTS_OF_INSTANCE * slopes.authentication.at(CapacityTarget.ORGANISATIONS) /
             MICROSECONDS,
     )
 
     /** Every charge whose organisation has its slots elsewhere asks once; an instance answers as many as it asks. */
     private fun limits(): ControlShare {
-        val charges = CapacityTarget.requestsOfInstance
+        val charges = CapacityTarget.REQUESTS_OF_INSTANCE
         val elsewhere = 1 - LimitSettings().slots.toDouble() / CapacityTarget.INSTANCES
         val inUse = CapacityTarget.ORGANISATIONS
         val charge = slopes.limitCharge.at(inUse) * charges * (1 + 2 * elsewhere)
@@ -100,9 +100,8 @@
     private companion object {
         const val MICROSECONDS = 1e6
         const val COPIES_OF_A_CHANGE = 2
-        const val WRITES_OF_A_CHANGE = 2
-        const val WATCHERS = 2
-        const val WATCH_SECONDS = 5.0
+        const val WRITES_OF_A_CHANGE = 3
+        const val READERS_OF_HEAD = 2
         const val TICKS_PER_SECOND = 10
         const val DUTIES_OF_DATA_CENTRE = 2
         const val USAGE_SHARDS = 64
--- a/measure/src/main/kotlin/org/nutmegspring/measure/capacity/CapacityTarget.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/capacity/CapacityTarget.kt
@@ -17,5 +17,5 @@
     const val DECISION_MICROSECONDS = 50.0
 
     /** Requests that one instance admits in a second. */
-    val requestsOfInstance: Double = REQUESTS_PER_SECOND / INSTANCES
+    const val REQUESTS_OF_INSTANCE: Double = REQUESTS_PER_SECOND / INSTANCES
 }
--- a/measure/src/main/kotlin/org/nutmegspring/measure/capacity/LimitSlopes.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/capacity/LimitSlopes.kt
@@ -47,10 +47,10 @@
     @OptIn(ExperimentalSerializationApi::class)
     fun exchangeBytes(): Int {
         val requests = listOf<InnerRequest>(
-            AskTokensRequest(INCARNATION, organisation(0), 1_000_000, 1_000, 2_000),
-            ReturnTokensRequest(INCARNATION, listOf(ReturnedTokens(organisation(0), 1_000_000, 1_000))),
+            AskTokensRequest(INCARNATION, organisation(0), ASK_NUMBER, TOKENS, TOKENS),
+            ReturnTokensRequest(INCARNATION, listOf(ReturnedTokens(organisation(0), ASK_NUMBER, TOKENS))),
         )
-        val replies = listOf<InnerReply>(AskTokensReply(1_000, 5_000), ReturnTokensReply)
+        val replies = listOf<InnerReply>(AskTokensReply(TOKENS, TOKENS), ReturnTokensReply)
         val bodies = requests.sumOf { Cbor.encodeToByteArray<InnerRequest>(it).size } +
             replies.sumOf { Cbor.encodeToByteArray<InnerReply>(it).size }
         return bodies + (requests.size + replies.size) * FRAME_BYTES
@@ -75,6 +75,7 @@
     private companion object {
         const val SHARDS = 64
         const val TOKENS = 400L
+        const val ASK_NUMBER = 1_000_000L
         const val ORGANISATIONS_TOGETHER = 96_000
         const val TRIALS = 5
         const val CHARGES = 20_000
--- a/measure/src/main/kotlin/org/nutmegspring/measure/capacity/MembershipSlopes.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/capacity/MembershipSlopes.kt
@@ -50,19 +50,19 @@
         val table = MembershipTable(InstanceId("entry-0"))
         val states = (1..size).map { state(it) }
         table.list(states.map { listed(it) }, MonotonicTime.ZERO)
-        table.replied(states.map { MemberReport(it, 1_000) }, MonotonicTime.ZERO)
+        table.replied(states.map { MemberReport(it, BEAT) }, MonotonicTime.ZERO)
         return table
     }
 
     private fun state(number: Int) = MemberState(
         InstanceId("entry-$number"),
-        Incarnation(7_000_000_000_000_000_000 + number),
+        Incarnation(INCARNATION + number),
         DataCentreId("centre-${number % DATA_CENTRES}"),
         "10.0.${number / OCTET}.${number % OCTET}:8080",
         "10.0.${number / OCTET}.${number % OCTET}:9080",
         InstancePhase.READY,
-        load = 0.5,
-        revision = Revision(1_000_000),
+        load = HALF_LOAD,
+        revision = Revision(REVISION),
         evidenceAge = Duration.ZERO,
         storeEvidenceAge = Duration.ZERO,
     )
@@ -89,6 +89,10 @@
     private companion object {
         const val MEMBERS_TOGETHER = 156_000
         const val TRIALS = 5
+        const val BEAT = 1_000L
+        const val INCARNATION = 7_000_000_000_000_000_000
+        const val HALF_LOAD = 0.5
+        const val REVISION = 1_000_000L
         const val EXCHANGES = 200
         const val DATA_CENTRES = 12
         const val OCTET = 250
--- a/measure/src/main/kotlin/org/nutmegspring/measure/capacity/Slope.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/capacity/Slope.kt
@@ -27,7 +27,7 @@
     val intercept: Double get() = regression.intercept
 
     /** How much the value grows for each step of the size. */
-    val slope: Double get() = regression.slope
+    val growth: Double get() = regression.slope
 
     /** The coefficient of determination. */
     val fit: Double get() = if (regression.rSquare.isNaN()) 1.0 else regression.rSquare
@@ -39,7 +39,7 @@
     fun figures(): Map<String, Double> {
         val measured = points.associate { "$name at ${it.size} $per" to it.value }
         return measured + mapOf(
-            "$name: slope for each of the $per" to slope,
+            "$name: slope for each of the $per" to growth,
             "$name: intercept" to intercept,
             "$name: fit" to fit,
         )
