--- a/command-line/src/main/kotlin/org/nutmegspring/commandline/CommandProvider.kt
+++ b/command-line/src/main/kotlin/org/nutmegspring/commandline/CommandProvider.kt
@@ -13,6 +13,7 @@
     @OptIn(ExperimentalCli::class)
     fun commands(context: CommandContext): List<Subcommand> = listOf(
         ServeCommand(context),
+        GatewayCommand(context),
         CheckCommand(context),
         AdminCommand(context),
         DemoCommand(context),
--- a/command-line/src/test/kotlin/org/nutmegspring/commandline/process/ProcessFleet.kt
+++ b/command-line/src/test/kotlin/org/nutmegspring/commandline/process/ProcessFleet.kt
@@ -21,7 +21,7 @@
 import org.nutmegspring.node.configuration.hashOf
 import org.nutmegspring.platform.ListedInstance
 import org.nutmegspring.platform.ListedState
-import org.nutmegspring.platform.http.PlatformPaths
+import org.nutmegspring.storeclient.PlatformPaths
 import org.nutmegspring.standin.platform.registerInstance
 import org.nutmegspring.standin.service.ExecutionCounts
 import org.nutmegspring.standin.service.ServiceStandIn
--- /dev/null
+++ b/decisions/src/main/kotlin/org/nutmegspring/placement/PromptPart.kt
@@ -0,0 +1,36 @@
+package org.nutmegspring.placement
+
+/**
+ * One part of a request's prompt, in order. Requests that begin with the same parts share them in an engine's cache.
+ *
+ * @property chainHash identifies this part together with all parts before it
+ * @property tokens the number of tokens of this part alone
+ */
+data class PromptPart(
+    val chainHash: Long,
+    val tokens: Int,
+)
+
+/** Returns the chain of the parts with [identifiers] and [tokens], for the model called [model]. */
+fun promptChain(model: String, identifiers: List<Long>, tokens: List<Int>): List<PromptPart> {
+    var hash = model.hashCode().toLong()
+    return identifiers.mapIndexed { index, identifier ->
+        hash = mix(hash xor identifier)
+        PromptPart(hash, tokens[index])
+    }
+}
+
+/** Spreads the bits of [value] (the finishing step of the splitmix64 generator). */
+internal fun mix(value: Long): Long {
+    var mixed = value + GOLDEN_GAMMA
+    mixed = (mixed xor (mixed ushr FIRST_SHIFT)) * FIRST_FACTOR
+    mixed = (mixed xor (mixed ushr SECOND_SHIFT)) * SECOND_FACTOR
+    return mixed xor (mixed ushr THIRD_SHIFT)
+}
+
+private const val GOLDEN_GAMMA = -7046029254386353131L
+private const val FIRST_FACTOR = -4658895280553007687L
+private const val SECOND_FACTOR = -7723592293110705685L
+private const val FIRST_SHIFT = 30
+private const val SECOND_SHIFT = 27
+private const val THIRD_SHIFT = 31
--- /dev/null
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/configuration/ServingConfiguration.kt
@@ -0,0 +1,161 @@
+package org.nutmegspring.gateway.configuration
+
+import org.nutmegspring.identity.DataCentreId
+import org.nutmegspring.identity.OrganisationId
+import org.nutmegspring.identity.ServiceId
+import org.nutmegspring.quota.QuotaRate
+import kotlin.time.Duration
+
+/** A secret that a caller presents. It is never logged and never forwarded. */
+@JvmInline
+value class ApiKey(val secret: String) {
+    override fun toString(): String = "ApiKey(hidden)"
+}
+
+/** What may be done again when the outcome of a request is unknown. */
+sealed interface RouteKind {
+    /** The request may run any number of times. */
+    data object Idempotent : RouteKind
+
+    /** The request may run once at most. */
+    data object NonIdempotent : RouteKind
+
+    /**
+     * The answer is a series of events.
+     *
+     * @property resumable whether a run may be continued at another endpoint after the last event
+     * @property longestPause the longest pause between events for which the answer is on time
+     */
+    data class Streaming(val resumable: Boolean, val longestPause: Duration?) : RouteKind
+}
+
+/** Whether the request may be sent again although it may have run. */
+val RouteKind.isRepeatable: Boolean
+    get() = when (this) {
+        RouteKind.Idempotent -> true
+        RouteKind.NonIdempotent -> false
+        is RouteKind.Streaming -> resumable
+    }
+
+/** A service that takes a part of a route's requests in proportion to [weight]. */
+data class ServiceShare(
+    val service: ServiceId,
+    val weight: Double,
+)
+
+/**
+ * How requests of one host whose path begins with [pathPrefix] are served.
+ *
+ * @property urgency rank of the requests, 0 is the most urgent
+ * @property isPublic whether requests need no key
+ * @property maximumAttempts the most endpoints to which one request is sent
+ * @property timeout the longest time for which the operator wants a caller to wait
+ * @property objective the time within which an answer has its full value
+ */
+data class Route(
+    val name: String,
+    val host: String,
+    val pathPrefix: String,
+    val kind: RouteKind,
+    val services: List<ServiceShare>,
+    val timeout: Duration,
+    val objective: Duration,
+    val urgency: Int,
+    val maximumAttempts: Int,
+    val isPublic: Boolean,
+)
+
+/**
+ * What the engines of a service can do.
+ *
+ * @property slots requests that run at once
+ * @property cacheCapacityTokens memory of an engine, in tokens
+ * @property cacheBytesPerToken bytes that a hand-over moves for each token
+ * @property linkMegabitsPerSecond the speed of an engine's link
+ */
+data class EngineAbilities(
+    val slots: Int,
+    val cacheCapacityTokens: Long,
+    val cacheBytesPerToken: Double,
+    val linkMegabitsPerSecond: Double,
+)
+
+/**
+ * How many endpoints of a service may be ordered in a data centre, and what they cost.
+ *
+ * @property startup how long a new endpoint takes until it serves
+ * @property prices the price of an endpoint for a time unit, by data centre
+ * @property reclaimablePrice the part of the price that a reclaimable endpoint costs
+ */
+data class PoolBounds(
+    val least: Int,
+    val most: Int,
+    val startup: Duration,
+    val prices: Map<DataCentreId, Double>,
+    val reclaimablePrice: Double?,
+)
+
+/** A service behind the system. [engines] is null for a plain service. */
+data class ServiceDefinition(
+    val id: ServiceId,
+    val healthPath: String,
+    val maximumConnections: Int,
+    val engines: EngineAbilities?,
+    val pool: PoolBounds?,
+)
+
+/** How the requests of an organisation are charged to its quota. */
+sealed interface QuotaUnit {
+    /** Each request is one unit. */
+    data object Requests : QuotaUnit
+
+    /** The tokens of prompt and output, or [withoutFigures] where a request does not tell them. */
+    data class Tokens(val withoutFigures: Long) : QuotaUnit
+}
+
+/** An organisation. [urgency] goes before that of its routes, [quota] is null without a limit. */
+data class OrganisationDefinition(
+    val id: OrganisationId,
+    val keys: List<ApiKey>,
+    val urgency: Int?,
+    val unit: QuotaUnit,
+    val quota: QuotaRate?,
+)
+
+/** Bounds on what callers send and how long they take. */
+data class CallerLimits(
+    val headerBytes: Int,
+    val bodyBytes: Int,
+    val headerTimeout: Duration,
+    val idleTimeout: Duration,
+)
+
+/** One accepted configuration. A greater [version] replaces a smaller one. */
+class ServingConfiguration(
+    val version: Long,
+    val routes: List<Route>,
+    val services: Map<ServiceId, ServiceDefinition>,
+    val organisations: List<OrganisationDefinition>,
+    val limits: CallerLimits,
+) {
+    private val routesByHost = routes.groupBy { it.host }
+        .mapValues { (_, ofHost) -> ofHost.associateBy { it.pathPrefix } }
+    private val organisationsByKey = organisations.flatMap { owner -> owner.keys.map { it to owner } }.toMap()
+
+    /** Whether requests need a key unless their route is public. */
+    val needsKeys: Boolean get() = organisations.isNotEmpty()
+
+    /** Returns the route of [host] with the longest prefix of [path], or null when none matches. */
+    fun route(host: String, path: String): Route? {
+        val ofHost = routesByHost[host] ?: return null
+        var end = path.lastIndexOf('/')
+        while (end >= 0) {
+            ofHost[path.substring(0, end + 1)]?.let { return it }
+            end = path.lastIndexOf('/', end - 1)
+        }
+        return null
+    }
+
+    /** Returns the organisation that holds [key]. */
+    fun organisation(key: ApiKey): OrganisationDefinition? = organisationsByKey[key]
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
@@ -0,0 +1,119 @@
+package org.nutmegspring.gateway.endpoints
+
+import org.nutmegspring.endpoint.EngineRole
+import org.nutmegspring.identity.InstanceId
+import org.nutmegspring.placement.EngineCandidate
+import org.nutmegspring.placement.EngineLoad
+import org.nutmegspring.placement.PrefixCacheBelief
+import org.nutmegspring.placement.PromptPart
+import org.nutmegspring.placement.ServiceCandidate
+import org.nutmegspring.routing.EndpointHealth
+import org.nutmegspring.routing.HealthSetting
+import org.nutmegspring.time.MonotonicTime
+import kotlin.math.exp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+
+/** What this instance believes of one endpoint. */
+class EndpointState(
+    /** The endpoint as it last described itself. */
+    var endpoint: ServingEndpoint,
+    cacheCapacityTokens: Long,
+) {
+    private class PeerLoad(val load: EngineLoad, var heardAt: MonotonicTime)
+
+    private val peers = HashMap<InstanceId, PeerLoad>()
+    private val belief = PrefixCacheBelief(cacheCapacityTokens)
+    private var slowdown = 1.0
+    private var slowdownAt = MonotonicTime.ZERO
+
+    /** The work of this instance at the endpoint. */
+    val own = EngineLoad()
+
+    /** Whether the endpoint is left out after failures. */
+    val health = EndpointHealth(HEALTH)
+
+    /** Until when the endpoint is used although its entry has lapsed, or null while the entry stands. */
+    var lapsesAt: MonotonicTime? = null
+
+    /** Whether another endpoint answered at the address. */
+    var isMisdirected = false
+
+    /** Takes over a changed description. A process that started anew holds nothing of before. */
+    fun describe(changed: ServingEndpoint) {
+        if (changed.bornAt != endpoint.bornAt || changed.address != endpoint.address) belief.clear()
+        if (changed != endpoint) isMisdirected = false
+        endpoint = changed
+        lapsesAt = null
+    }
+
+    /** Records that the endpoint reads the prompt [chain]. */
+    fun reads(chain: List<PromptPart>) = belief.read(chain)
+
+    /** Takes what another instance told of its work at the endpoint. */
+    fun heard(instance: InstanceId, waitingTokens: List<Long>, requests: Int, now: MonotonicTime) {
+        val peer = peers.getOrPut(instance) { PeerLoad(EngineLoad(), now) }
+        peer.load.replace(waitingTokens, requests)
+        peer.heardAt = now
+    }
+
+    /** Records that an answer took [actual] where [expected] was expected. */
+    fun answered(expected: Duration, actual: Duration, now: MonotonicTime) {
+        val ratio = (actual / maxOf(expected, SHORTEST_EXPECTATION)).coerceIn(LEAST_SLOWDOWN, GREATEST_SLOWDOWN)
+        slowdown = currentSlowdown(now) * (1 - SLOWDOWN_WEIGHT) + ratio * SLOWDOWN_WEIGHT
+        slowdownAt = now
+    }
+
+    /** Returns the requests of all instances at the endpoint. */
+    fun requests(now: MonotonicTime): Int = own.requests + freshPeers(now).sumOf { it.requests }
+
+    /** Returns this endpoint as a candidate for a request of [urgency] whose prompt is [chain]. */
+    fun asEngine(chain: List<PromptPart>, urgency: Int, now: MonotonicTime): EngineCandidate = EngineCandidate(
+        id = endpoint.id,
+        role = endpoint.role ?: EngineRole.MIXED,
+        dataCentre = endpoint.dataCentre,
+        tokensAhead = own.ahead(urgency) + freshPeers(now).sumOf { it.ahead(urgency) },
+        heldTokens = belief.heldTokens(chain),
+        requests = requests(now),
+        slots = endpoint.slots,
+        slowdown = maxOf(1.0, currentSlowdown(now)),
+    )
+
+    /** Returns this endpoint as a candidate for a request to a plain service. */
+    fun asService(now: MonotonicTime): ServiceCandidate = ServiceCandidate(
+        id = endpoint.id,
+        dataCentre = endpoint.dataCentre,
+        requests = requests(now),
+        slots = endpoint.slots,
+        slowdown = maxOf(1.0, currentSlowdown(now)),
+    )
+
+    private fun freshPeers(now: MonotonicTime): List<EngineLoad> =
+        peers.values.filter { now - it.heardAt < PEER_LOAD_LIFETIME }.map { it.load }
+
+    /** An endpoint that was slow and is avoided gets another chance after a while. */
+    private fun currentSlowdown(now: MonotonicTime): Double {
+        val age = (now - slowdownAt).toDouble(DurationUnit.SECONDS)
+        return 1 + (slowdown - 1) * exp(-age / SLOWDOWN_FADING.toDouble(DurationUnit.SECONDS))
+    }
+
+    private companion object {
+        /** Trials come soon, since endpoints are few and mostly back within seconds. */
+        val HEALTH = HealthSetting(
+            failuresToOpen = 2,
+            firstPause = 500.milliseconds,
+            longestPause = 4.seconds,
+            trialTimeout = 1.seconds,
+        )
+
+        /** Several exchanges; later the work told of has ended. */
+        val PEER_LOAD_LIFETIME = 1.seconds
+        val SHORTEST_EXPECTATION = 20.milliseconds
+        const val LEAST_SLOWDOWN = 0.5
+        const val GREATEST_SLOWDOWN = 8.0
+        const val SLOWDOWN_WEIGHT = 0.1
+        val SLOWDOWN_FADING = 8.seconds
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/ServingEndpoint.kt
@@ -0,0 +1,28 @@
+package org.nutmegspring.gateway.endpoints
+
+import org.nutmegspring.endpoint.EngineRole
+import org.nutmegspring.identity.DataCentreId
+import org.nutmegspring.identity.EndpointId
+import org.nutmegspring.identity.ServiceId
+import org.nutmegspring.platform.ListedState
+
+/**
+ * An endpoint as it describes itself in the platform's store.
+ *
+ * @property address `host:port` with an IP number
+ * @property slots requests that it runs at once
+ * @property role the part of the work that an engine accepts, null for a plain service
+ * @property bornAt the start of the process, in milliseconds since the epoch; an id may be used again
+ * @property reclaimable whether it may be withdrawn with its whole data centre at short notice
+ */
+data class ServingEndpoint(
+    val id: EndpointId,
+    val service: ServiceId,
+    val address: String,
+    val dataCentre: DataCentreId,
+    val slots: Int,
+    val state: ListedState,
+    val role: EngineRole?,
+    val bornAt: Long?,
+    val reclaimable: Boolean,
+)
--- /dev/null
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
@@ -0,0 +1,111 @@
+package org.nutmegspring.gateway.forwarding
+
+import io.netty.handler.codec.http.HttpHeaders
+import org.nutmegspring.failure.Effect
+import org.nutmegspring.failure.Failure
+import org.nutmegspring.failure.Peer
+import org.nutmegspring.failure.Step
+import org.nutmegspring.gateway.endpoints.EndpointState
+import org.nutmegspring.gateway.http.AnswerPart
+import org.nutmegspring.gateway.http.EndpointConnections
+import org.nutmegspring.gateway.http.HttpCall
+import org.nutmegspring.gateway.http.OpenAnswer
+import org.nutmegspring.gateway.wire.AnswerFacts
+import org.nutmegspring.gateway.wire.Dispatch
+import org.nutmegspring.gateway.wire.ServingDialect
+
+/** The head of an endpoint's answer to a request. */
+class AnswerHead(val status: Int, val headers: HttpHeaders, val facts: AnswerFacts) {
+    /** Whether the answer reports success. */
+    val isSuccess: Boolean get() = status in SUCCESS
+
+    private companion object {
+        val SUCCESS = 200..299
+    }
+}
+
+/** How the sending of a request to one endpoint began. */
+sealed interface AttemptStart {
+    /** The endpoint answers; [answer] has to be closed. */
+    class Answering(val head: AnswerHead, val answer: OpenAnswer) : AttemptStart
+
+    /** The endpoint did not run the request, or did not answer. */
+    class Failed(val failure: Failure) : AttemptStart
+}
+
+/** Sends requests to endpoints and reads the heads of their answers. */
+class EndpointSender(
+    private val connections: EndpointConnections,
+    private val dialect: ServingDialect,
+) {
+    /** Sends [call] of a caller as [dispatch] says. */
+    suspend fun send(call: HttpCall, dispatch: Dispatch, mayReuse: Boolean): AttemptStart {
+        val address = dispatch.endpoint.address
+        val headers = dialect.endpointHeaders(call.headers, dispatch)
+        val id = dialect.readRequest(headers).id
+        val sent = HttpCall(call.method, call.target, headers, call.body)
+        val opened = connections.open(address, sent, mayReuse) { dialect.readAnswer(0, it).requestId == id }
+        return opened.fold(
+            { AttemptStart.Failed(it) },
+            { answer -> readHead(answer, dispatch) },
+        )
+    }
+
+    /** Frees the prompt that [endpoint] holds as [handle]. */
+    suspend fun free(endpoint: EndpointState, handle: String) {
+        connections.exchange(endpoint.endpoint.address, dialect.freeHandle(handle), FREE_TIMEOUT)
+    }
+
+    private suspend fun readHead(answer: OpenAnswer, dispatch: Dispatch): AttemptStart {
+        var isHanded = false
+        try {
+            return when (val part = answer.next()) {
+                is AnswerPart.Head -> {
+                    val head = AnswerHead(part.status, part.headers, dialect.readAnswer(part.status, part.headers))
+                    if (head.facts.hasNotRun || head.facts.isOtherEndpoint) {
+                        drain(answer)
+                        AttemptStart.Failed(notRun(dispatch, head))
+                    } else {
+                        isHanded = true
+                        AttemptStart.Answering(head, answer)
+                    }
+                }
+
+                is AnswerPart.Broken -> {
+                    AttemptStart.Failed(unknown(dispatch, part.reason))
+                }
+
+                is AnswerPart.Body, AnswerPart.End -> {
+                    AttemptStart.Failed(unknown(dispatch, "an answer without a head"))
+                }
+            }
+        } finally {
+            if (!isHanded) answer.close()
+        }
+    }
+
+    /** Reads the short rest of a refusal, so that its connection can be used again. */
+    private suspend fun drain(answer: OpenAnswer) {
+        repeat(MAXIMUM_DRAINED_PARTS) {
+            val part = answer.next()
+            if (part is AnswerPart.End || part is AnswerPart.Broken) return
+        }
+    }
+
+    private fun notRun(dispatch: Dispatch, head: AnswerHead): Failure {
+        val reason = if (head.facts.isOtherEndpoint) "another endpoint has the address" else "refused by the endpoint"
+        return Failure(Step.READ_ANSWER, peer(dispatch), Effect.NOT_RUN, "$reason (status ${head.status})")
+    }
+
+    private fun unknown(dispatch: Dispatch, reason: String) =
+        Failure(Step.READ_ANSWER, peer(dispatch), Effect.UNKNOWN, reason)
+
+    private fun peer(dispatch: Dispatch) = Peer(dispatch.endpoint.address)
+
+    private companion object {
+        const val MAXIMUM_DRAINED_PARTS = 4
+
+        /** Freeing spares memory of the engine, which gives it up by itself some seconds later. */
+        val FREE_TIMEOUT = kotlin.time.Duration.parse("500ms")
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EventStream.kt
@@ -0,0 +1,68 @@
+package org.nutmegspring.gateway.forwarding
+
+import java.io.ByteArrayOutputStream
+
+/** One event of a stream with its closing empty line. [id] is null for an event without one. */
+class StreamEvent(val bytes: ByteArray, val id: String?)
+
+/** Cuts the body of an event stream into whole events. A part of an event is kept until the rest arrives. */
+class EventSplitter {
+    private var pending = ByteArray(0)
+
+    /** Whether a part of an event was read whose rest did not arrive. */
+    val hasPartialEvent: Boolean get() = pending.isNotEmpty()
+
+    /** Returns the events that [bytes] complete. */
+    fun add(bytes: ByteArray): List<StreamEvent> {
+        val all = if (pending.isEmpty()) bytes else pending + bytes
+        val events = mutableListOf<StreamEvent>()
+        var start = 0
+        var end = endOfEvent(all, start)
+        while (end >= 0) {
+            val event = all.copyOfRange(start, end)
+            events += StreamEvent(event, idOf(event))
+            start = end
+            end = endOfEvent(all, start)
+        }
+        pending = if (start == 0) all else all.copyOfRange(start, all.size)
+        return events
+    }
+
+    /** Returns what was read after the last whole event. */
+    fun rest(): ByteArray = pending
+
+    private fun endOfEvent(bytes: ByteArray, from: Int): Int {
+        var index = from
+        while (index < bytes.size) {
+            if (bytes[index] == LINE_FEED) {
+                val next = if (index + 1 < bytes.size && bytes[index + 1] == CARRIAGE_RETURN) index + 2 else index + 1
+                if (next < bytes.size && bytes[next] == LINE_FEED) return next + 1
+            }
+            index++
+        }
+        return -1
+    }
+
+    private fun idOf(event: ByteArray): String? = event.decodeToString()
+        .lineSequence()
+        .firstOrNull { it.startsWith(ID_FIELD) }
+        ?.removePrefix(ID_FIELD)
+        ?.trim()
+
+    private companion object {
+        const val LINE_FEED = '\n'.code.toByte()
+        const val CARRIAGE_RETURN = '\r'.code.toByte()
+        const val ID_FIELD = "id:"
+    }
+}
+
+/** Collects the body of an answer. */
+internal class BodyCollector {
+    private val bytes = ByteArrayOutputStream()
+
+    /** Adds a piece. */
+    fun add(piece: ByteArray) = bytes.write(piece)
+
+    /** Returns the whole body. */
+    fun whole(): ByteArray = bytes.toByteArray()
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/ServiceForwarder.kt
@@ -0,0 +1,181 @@
+package org.nutmegspring.gateway.forwarding
+
+import org.nutmegspring.failure.Effect
+import org.nutmegspring.failure.Failure
+import org.nutmegspring.failure.Peer
+import org.nutmegspring.failure.Step
+import org.nutmegspring.gateway.configuration.isRepeatable
+import org.nutmegspring.gateway.endpoints.EndpointState
+import org.nutmegspring.gateway.endpoints.EndpointTable
+import org.nutmegspring.gateway.http.AnswerPart
+import org.nutmegspring.gateway.http.withoutHopHeaders
+import org.nutmegspring.gateway.wire.DispatchStage
+import org.nutmegspring.identity.DataCentreId
+import org.nutmegspring.placement.ServicePlacement
+import org.nutmegspring.time.MonotonicClock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Sends requests to endpoints of plain services and delivers their answers whole. */
+class ServiceForwarder(
+    private val endpoints: EndpointTable,
+    private val sender: EndpointSender,
+    private val placement: ServicePlacement,
+    private val retries: ServiceRetries,
+    private val usage: UsageCounter,
+    private val dataCentre: DataCentreId,
+    private val clock: MonotonicClock,
+) {
+    private class WholeAnswer(val head: AnswerHead, val body: ByteArray)
+
+    private sealed interface Outcome {
+        class Answered(val answer: WholeAnswer) : Outcome
+
+        class Failed(val failure: Failure) : Outcome
+    }
+
+    /** Serves [run]. */
+    suspend fun serve(run: RequestRun): RunEnd {
+        var last: RunEnd = RunEnd.NotRun("no endpoint of the service is known", RETRY_PAUSE)
+        while (true) {
+            val endpoint = choose(run) ?: return last
+            val isFurther = run.trace.endpoints.isNotEmpty()
+            if (isFurther && !retries.take(run.admitted.service)) return last
+            run.trace.endpoints += endpoint.endpoint.id
+            run.tried += endpoint.endpoint.id
+            last = when (val outcome = attempt(run, endpoint)) {
+                is Outcome.Answered -> {
+                    val again = outcome.answer.head.status >= FIRST_SERVER_ERROR && mayRepeatAnswered(run)
+                    if (!again || !canTake(run)) return deliver(run, outcome.answer)
+                    RunEnd.Failed("the endpoint answered ${outcome.answer.head.status}", isTimeout = false)
+                }
+
+                is Outcome.Failed -> {
+                    run.failed(endpoint, outcome.failure)
+                    val end = endOf(run, outcome.failure)
+                    if (!run.mayTryAgain(outcome.failure.effect)) return end
+                    end
+                }
+            }
+        }
+    }
+
+    private fun choose(run: RequestRun): EndpointState? {
+        val now = clock.now()
+        val usable = endpoints.usable(run.admitted.service, now, run.tried)
+        val chosen = placement.choose(usable.map { it.asService(now) }, dataCentre) ?: return null
+        return endpoints.state(chosen)
+    }
+
+    private fun mayRepeatAnswered(run: RequestRun): Boolean =
+        run.admitted.route.kind.isRepeatable && run.mayTryAgain(Effect.UNKNOWN)
+
+    private fun canTake(run: RequestRun): Boolean =
+        retries.allows(run.admitted.service) &&
+            endpoints.usable(run.admitted.service, clock.now(), run.tried).isNotEmpty()
+
+    private suspend fun attempt(run: RequestRun, endpoint: EndpointState): Outcome {
+        endpoint.own.sent(0, run.admitted.urgency)
+        endpoint.health.started(clock.now())
+        val began = clock.now()
+        try {
+            val outcome = within(patience(run)) { send(run, endpoint) }
+                ?: Outcome.Failed(run.timedOut(endpoint.endpoint.address))
+            judge(run, endpoint, outcome, clock.now() - began)
+            return outcome
+        } finally {
+            endpoint.own.ended()
+        }
+    }
+
+    private suspend fun send(run: RequestRun, endpoint: EndpointState): Outcome {
+        val dispatch = run.dispatch(endpoint, DispatchStage.Whole, run.admitted.facts.lastEvent)
+        val startedAt = System.currentTimeMillis()
+        val mayReuse = run.admitted.route.kind.isRepeatable || endpoint.health.permits(clock.now())
+        return when (val started = sender.send(run.exchange.call, dispatch, mayReuse)) {
+            is AttemptStart.Failed -> {
+                Outcome.Failed(started.failure)
+            }
+
+            is AttemptStart.Answering -> {
+                usage.began(run.admitted, startedAt)
+                try {
+                    readWhole(started, endpoint)
+                } finally {
+                    started.answer.close()
+                }
+            }
+        }
+    }
+
+    private suspend fun readWhole(started: AttemptStart.Answering, endpoint: EndpointState): Outcome {
+        val body = BodyCollector()
+        while (true) {
+            when (val part = started.answer.next()) {
+                is AnswerPart.Body -> body.add(part.bytes)
+                is AnswerPart.End -> return Outcome.Answered(WholeAnswer(started.head, body.whole()))
+                is AnswerPart.Broken -> return Outcome.Failed(broken(endpoint, part.reason))
+                is AnswerPart.Head -> return Outcome.Failed(broken(endpoint, "a second head in one answer"))
+            }
+        }
+    }
+
+    private fun broken(endpoint: EndpointState, reason: String) =
+        Failure(Step.READ_ANSWER, Peer(endpoint.endpoint.address), Effect.UNKNOWN, reason)
+
+    private fun judge(run: RequestRun, endpoint: EndpointState, outcome: Outcome, elapsed: Duration) {
+        val now = clock.now()
+        when (outcome) {
+            is Outcome.Answered -> {
+                endpoint.health.succeeded()
+                endpoint.answered(run.admitted.route.objective * USUAL_OBJECTIVE_SHARE, elapsed, now)
+            }
+
+            is Outcome.Failed -> {
+                if (outcome.failure.message.startsWith("another endpoint")) endpoint.isMisdirected = true
+                endpoint.health.failed(now)
+            }
+        }
+    }
+
+    /** How long one endpoint is waited for: less than all while another may still answer in time. */
+    private fun patience(run: RequestRun): Duration {
+        val left = run.timeLeft()
+        val canMove = run.admitted.route.kind.isRepeatable && run.trace.endpoints.size < run.admitted.route.maximumAttempts
+        return if (canMove) minOf(left, run.admitted.route.objective * MOVE_ON_SHARE) else left
+    }
+
+    private fun deliver(run: RequestRun, answer: WholeAnswer): RunEnd {
+        val isPromise = answer.head.status in PROMISING_STATUSES
+        val isUnsignedSuccess = answer.head.isSuccess && !answer.head.facts.isSigned
+        if (isPromise || isUnsignedSuccess) {
+            run.mayHaveRun = true
+            return RunEnd.Failed("the endpoint answered ${answer.head.status} without proof", isTimeout = false)
+        }
+        run.exchange.respond(answer.head.status, answer.head.headers.withoutHopHeaders(), answer.body)
+        return RunEnd.Delivered(answer.head.status)
+    }
+
+    private fun endOf(run: RequestRun, failure: Failure): RunEnd =
+        if (run.mayHaveRun) {
+            RunEnd.Failed(failure.message, isTimeout = run.timeLeft() == Duration.ZERO)
+        } else {
+            RunEnd.NotRun(failure.message, RETRY_PAUSE)
+        }
+
+    private companion object {
+        const val FIRST_SERVER_ERROR = 500
+
+        /** Statuses by which a caller knows that nothing ran; an endpoint's own do not say so without its proof. */
+        val PROMISING_STATUSES = setOf(408, 421, 429, 503)
+
+        /** An answer usually takes about this part of the objective. */
+        const val USUAL_OBJECTIVE_SHARE = 0.3
+
+        /** The part of the objective after which a second endpoint may still answer within about the objective. */
+        const val MOVE_ON_SHARE = 0.8
+
+        /** A full endpoint has a free slot again after about one request. */
+        val RETRY_PAUSE = 100.milliseconds
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
@@ -0,0 +1,95 @@
+package org.nutmegspring.gateway.forwarding
+
+import org.nutmegspring.currency.ConfigurationEvidence
+import org.nutmegspring.gateway.configuration.OrganisationDefinition
+import org.nutmegspring.gateway.configuration.QuotaUnit
+import org.nutmegspring.gateway.configuration.ServingConfiguration
+import org.nutmegspring.gateway.observe.DecisionEvent
+import org.nutmegspring.gateway.observe.DecisionLog
+import org.nutmegspring.gateway.peers.PeerReport
+import org.nutmegspring.identity.InstanceId
+import org.nutmegspring.identity.OrganisationId
+import org.nutmegspring.quota.PeerCharges
+import org.nutmegspring.quota.QuotaVerdict
+import org.nutmegspring.quota.SharedQuota
+import org.nutmegspring.time.MonotonicClock
+
+/** The configuration in force at this instance. It never goes back to an older version. */
+class CurrentConfiguration(private val log: DecisionLog) {
+    /** The configuration, or null before the first. */
+    var configuration: ServingConfiguration? = null
+        private set
+
+    /** The proof that it is the newest. */
+    val evidence = ConfigurationEvidence()
+
+    /** Applies [offered] when it is newer than what is in force. Returns whether it was. */
+    fun offer(offered: ServingConfiguration): Boolean {
+        val previous = configuration
+        if (previous != null && offered.version <= previous.version) return false
+        configuration = offered
+        log.record(
+            DecisionEvent.ConfigurationApplied(
+                offered.version,
+                previous?.version,
+                offered.routes.size,
+                offered.organisations.size,
+            ),
+        )
+        return true
+    }
+}
+
+/** The quotas of all organisations at this instance. */
+class QuotaTable(private val clock: MonotonicClock) {
+    private val quotas = HashMap<OrganisationId, SharedQuota>()
+
+    /** Takes the rates of [configuration]. */
+    fun configure(configuration: ServingConfiguration) {
+        val now = clock.now()
+        for (organisation in configuration.organisations) {
+            val rate = organisation.quota
+            val known = quotas[organisation.id]
+            when {
+                rate == null -> quotas.remove(organisation.id)
+                known == null -> quotas[organisation.id] = SharedQuota(rate, now)
+                else -> known.resize(rate, now)
+            }
+        }
+        quotas.keys.retainAll(configuration.organisations.map { it.id }.toSet())
+    }
+
+    /** Takes the charges that another instance tells. */
+    fun heard(report: PeerReport) {
+        val now = clock.now()
+        for ((organisation, units) in report.charges) {
+            quotas[organisation]?.heard(PeerCharges(report.instance, report.incarnation, units, now), now)
+        }
+    }
+
+    /** Takes the list of the other instances. */
+    fun members(others: Collection<InstanceId>) {
+        val now = clock.now()
+        quotas.values.forEach { it.members(others, now) }
+    }
+
+    /** Charges a request of [organisation] with [tokens], null when the request does not tell them. */
+    fun charge(organisation: OrganisationDefinition, tokens: Long?): QuotaVerdict {
+        val quota = quotas[organisation.id] ?: return QuotaVerdict.Admitted
+        return quota.charge(units(organisation, tokens), clock.now())
+    }
+
+    /** Takes back the charge for a request that did not run. */
+    fun refund(organisation: OrganisationDefinition, tokens: Long?) {
+        quotas[organisation.id]?.refund(units(organisation, tokens), clock.now())
+    }
+
+    /** Returns the units charged so far, by organisation. */
+    fun charges(): Map<OrganisationId, Long> =
+        quotas.filterValues { it.chargedUnits > 0 }.mapValues { it.value.chargedUnits }
+
+    private fun units(organisation: OrganisationDefinition, tokens: Long?): Long = when (val unit = organisation.unit) {
+        QuotaUnit.Requests -> 1
+        is QuotaUnit.Tokens -> tokens ?: unit.withoutFigures
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -0,0 +1,258 @@
+package org.nutmegspring.gateway.forwarding
+
+import org.nutmegspring.failure.Effect
+import org.nutmegspring.failure.Failure
+import org.nutmegspring.failure.Peer
+import org.nutmegspring.failure.Step
+import org.nutmegspring.gateway.configuration.isRepeatable
+import org.nutmegspring.gateway.endpoints.EndpointState
+import org.nutmegspring.gateway.http.AnswerPart
+import org.nutmegspring.gateway.http.withoutHopHeaders
+import org.nutmegspring.gateway.wire.DispatchStage
+import org.nutmegspring.time.MonotonicClock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Sends requests to engines and passes their events on as they arrive.
+ *
+ * A run that breaks off is continued at another engine after the last event that was passed on, where the route allows
+ * it. Only whole events are passed on, so that the continuation joins without a gap or a repeat.
+ */
+class StreamForwarder(
+    private val choice: EngineChoice,
+    private val sender: EndpointSender,
+    private val retries: ServiceRetries,
+    private val usage: UsageCounter,
+    private val clock: MonotonicClock,
+) {
+    /** The answer to one caller, over all attempts. */
+    private class Progress(var lastEvent: String?) {
+        var isStarted = false
+        var hasOutput = false
+        var isCounted = false
+    }
+
+    /** Serves [run]. */
+    suspend fun serve(run: RequestRun): RunEnd {
+        val progress = Progress(run.admitted.facts.lastEvent)
+        var last: RunEnd = RunEnd.NotRun("no engine can take the request", RETRY_PAUSE)
+        while (true) {
+            val plan = choice.choose(run) ?: return last
+            val expected = plan.expectedMilliseconds.milliseconds
+            if (run.trace.expectedMilliseconds == null) run.trace.expectedMilliseconds = plan.expectedMilliseconds
+            if (!progress.hasOutput && expected > run.timeLeft()) {
+                if (run.mayHaveRun) return last
+                return RunEnd.NotRun("the first output would be late", expected - run.timeLeft())
+            }
+            val isFurther = run.trace.endpoints.isNotEmpty()
+            if (isFurther && !retries.take(run.admitted.service)) return last
+            val prepared = choice.prepare(run, plan) ?: continue
+            run.trace.endpoints += prepared.engine.endpoint.id
+            run.tried += prepared.engine.endpoint.id
+            val failure = attempt(run, prepared, progress) ?: return RunEnd.Delivered(STATUS_OK)
+            if (failure is AttemptEnd.Delivered) return RunEnd.Delivered(failure.status)
+            val cause = (failure as AttemptEnd.Failed).failure
+            run.failed(prepared.engine, cause)
+            last = endOf(run, progress, cause)
+            if (!run.mayTryAgain(cause.effect) || progress.isStarted && progress.lastEvent == null) return last
+        }
+    }
+
+    private sealed interface AttemptEnd {
+        class Delivered(val status: Int) : AttemptEnd
+
+        class Failed(val failure: Failure) : AttemptEnd
+    }
+
+    private suspend fun attempt(run: RequestRun, prepared: PreparedEngine, progress: Progress): AttemptEnd? {
+        val engine = prepared.engine
+        val ticket = choice.sent(run, prepared)
+        var answering: AttemptStart.Answering? = null
+        try {
+            val started = within(run.timeLeft()) {
+                val dispatch = run.dispatch(engine, prepared.stage, progress.lastEvent)
+                sender.send(run.exchange.call, dispatch, mayReuse = true).also {
+                    if (it is AttemptStart.Answering) answering = it
+                }
+            }
+            return when (started) {
+                null -> failed(run, prepared, run.timedOut(engine.endpoint.address))
+                is AttemptStart.Failed -> failed(run, prepared, started.failure)
+                is AttemptStart.Answering -> pump(run, prepared, progress, started, ticket)
+            }
+        } finally {
+            ticket.ended()
+            answering?.answer?.close()
+        }
+    }
+
+    private suspend fun pump(
+        run: RequestRun,
+        prepared: PreparedEngine,
+        progress: Progress,
+        started: AttemptStart.Answering,
+        ticket: EngineTicket,
+    ): AttemptEnd? {
+        if (!started.head.isSuccess || !started.head.facts.isSigned) return refused(run, prepared, progress, started)
+        val events = EventSplitter()
+        while (true) {
+            val part = within(waitFor(run, ticket)) { started.answer.next() }
+                ?: return failed(run, prepared, run.timedOut(prepared.engine.endpoint.address))
+            when (part) {
+                is AnswerPart.Body -> events.add(part.bytes).forEach { pass(run, progress, started.head, it, ticket) }
+
+                is AnswerPart.End -> {
+                    if (events.hasPartialEvent) passRest(run, progress, started.head, events.rest())
+                    if (!progress.isStarted) start(run, progress, started.head)
+                    run.exchange.finish()
+                    choice.succeeded(prepared)
+                    return null
+                }
+
+                is AnswerPart.Broken -> return failed(run, prepared, broken(prepared, part.reason))
+
+                is AnswerPart.Head -> return failed(run, prepared, broken(prepared, "a second head in one answer"))
+            }
+        }
+    }
+
+    private fun pass(
+        run: RequestRun,
+        progress: Progress,
+        head: AnswerHead,
+        event: StreamEvent,
+        ticket: EngineTicket,
+    ) {
+        if (!progress.isStarted) start(run, progress, head)
+        if (!progress.hasOutput) {
+            progress.hasOutput = true
+            run.trace.firstOutputMilliseconds = run.elapsedMilliseconds()
+        }
+        ticket.firstOutput()
+        if (!progress.isCounted) {
+            progress.isCounted = true
+            usage.began(run.admitted, System.currentTimeMillis())
+        }
+        if (event.id != null) progress.lastEvent = event.id
+        run.exchange.send(event.bytes)
+    }
+
+    private fun passRest(run: RequestRun, progress: Progress, head: AnswerHead, rest: ByteArray) {
+        if (!progress.isStarted) start(run, progress, head)
+        run.exchange.send(rest)
+    }
+
+    private fun start(run: RequestRun, progress: Progress, head: AnswerHead) {
+        progress.isStarted = true
+        run.exchange.start(head.status, head.headers.withoutHopHeaders())
+    }
+
+    /** Delivers an answer that is not a stream: a failure that the engine made itself. */
+    private suspend fun refused(
+        run: RequestRun,
+        prepared: PreparedEngine,
+        progress: Progress,
+        started: AttemptStart.Answering,
+    ): AttemptEnd {
+        val body = BodyCollector()
+        while (true) {
+            when (val part = within(run.timeLeft()) { started.answer.next() }) {
+                is AnswerPart.Body -> body.add(part.bytes)
+                is AnswerPart.End -> break
+                else -> return failed(run, prepared, broken(prepared, "an answer of status ${started.head.status} broke off"))
+            }
+        }
+        val isPromise = started.head.status in PROMISING_STATUSES
+        if (progress.isStarted || isPromise || started.head.isSuccess) {
+            return failed(run, prepared, broken(prepared, "answered ${started.head.status} without proof"))
+        }
+        run.exchange.respond(started.head.status, started.head.headers.withoutHopHeaders(), body.whole())
+        return AttemptEnd.Delivered(started.head.status)
+    }
+
+    /** How long the next part is waited for: less before the first output, so that another engine can be tried. */
+    private fun waitFor(run: RequestRun, ticket: EngineTicket): Duration {
+        val left = run.timeLeft()
+        val canMove = run.admitted.route.kind.isRepeatable && run.trace.endpoints.size < run.admitted.route.maximumAttempts
+        return if (canMove && !ticket.hasOutput) minOf(left, ticket.patience()) else left
+    }
+
+    private fun failed(run: RequestRun, prepared: PreparedEngine, failure: Failure): AttemptEnd {
+        choice.failed(prepared, failure, run)
+        return AttemptEnd.Failed(failure)
+    }
+
+    private fun broken(prepared: PreparedEngine, reason: String) =
+        Failure(Step.READ_ANSWER, Peer(prepared.engine.endpoint.address), Effect.UNKNOWN, reason)
+
+    private fun endOf(run: RequestRun, progress: Progress, failure: Failure): RunEnd = when {
+        progress.isStarted -> RunEnd.BrokenOff(failure.message)
+        run.mayHaveRun -> RunEnd.Failed(failure.message, isTimeout = run.timeLeft() == Duration.ZERO)
+        else -> RunEnd.NotRun(failure.message, RETRY_PAUSE)
+    }
+
+    private companion object {
+        const val STATUS_OK = 200
+
+        /** Statuses by which a caller knows that nothing ran; an engine's own do not say so without its proof. */
+        val PROMISING_STATUSES = setOf(408, 421, 429, 503)
+
+        /** An engine that is full has room again after about one request. */
+        val RETRY_PAUSE = 150.milliseconds
+    }
+}
+
+/** An engine to which a request can be sent, and the part of the work that it is asked for. */
+class PreparedEngine(
+    val engine: EndpointState,
+    val stage: DispatchStage,
+    val expected: Duration,
+    val unreadTokens: Long,
+)
+
+/** The work of one request at one engine, while it lasts. */
+class EngineTicket(
+    private val clock: MonotonicClock,
+    private val engine: EndpointState,
+    private val expected: Duration,
+    private val unreadTokens: Long,
+    private val urgency: Int,
+) {
+    private val began = clock.now()
+    private var isRead = false
+    private var isEnded = false
+
+    /** Whether the engine has made output. */
+    val hasOutput: Boolean get() = isRead
+
+    init {
+        engine.own.sent(unreadTokens, urgency)
+    }
+
+    /** Records the first output. */
+    fun firstOutput() {
+        if (isRead) return
+        isRead = true
+        engine.own.read(unreadTokens, urgency)
+        engine.answered(expected, clock.now() - began, clock.now())
+    }
+
+    /** Records the end. */
+    fun ended() {
+        if (isEnded) return
+        isEnded = true
+        if (!isRead) engine.own.read(unreadTokens, urgency)
+        engine.own.ended()
+    }
+
+    /** Returns how much longer the first output is waited for before another engine is tried. */
+    fun patience(): Duration =
+        (expected * PATIENCE_FACTOR + LEAST_PATIENCE - (clock.now() - began)).coerceAtLeast(1.milliseconds)
+
+    private companion object {
+        /** Estimates are rough; an engine that takes this many times as long is dark or very slow. */
+        const val PATIENCE_FACTOR = 3.0
+        val LEAST_PATIENCE = 400.milliseconds
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -0,0 +1,405 @@
+package org.nutmegspring.gateway.instance
+
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.nutmegspring.gateway.duties.UsageReporter
+import org.nutmegspring.gateway.endpoints.EndpointTable
+import org.nutmegspring.gateway.forwarding.Admission
+import org.nutmegspring.gateway.forwarding.AdmissionBounds
+import org.nutmegspring.gateway.forwarding.CurrentConfiguration
+import org.nutmegspring.gateway.forwarding.EndpointSender
+import org.nutmegspring.gateway.forwarding.EngineChoice
+import org.nutmegspring.gateway.forwarding.GatewayHandler
+import org.nutmegspring.gateway.forwarding.QuotaTable
+import org.nutmegspring.gateway.forwarding.RetryBounds
+import org.nutmegspring.gateway.forwarding.ServiceForwarder
+import org.nutmegspring.gateway.forwarding.ServiceRetries
+import org.nutmegspring.gateway.forwarding.StreamForwarder
+import org.nutmegspring.gateway.forwarding.UsageCounter
+import org.nutmegspring.gateway.http.EndpointConnections
+import org.nutmegspring.gateway.http.EventLoop
+import org.nutmegspring.gateway.http.HttpServer
+import org.nutmegspring.gateway.http.RequestHandler
+import org.nutmegspring.gateway.http.ServerLimits
+import org.nutmegspring.gateway.http.startHttpServer
+import org.nutmegspring.gateway.observe.DecisionEvent
+import org.nutmegspring.gateway.observe.DecisionLog
+import org.nutmegspring.gateway.observe.GatewayMetrics
+import org.nutmegspring.gateway.peers.EndpointLoadReport
+import org.nutmegspring.gateway.peers.InstanceRecord
+import org.nutmegspring.gateway.peers.OwnAddress
+import org.nutmegspring.gateway.peers.PeerExchange
+import org.nutmegspring.gateway.peers.PeerReport
+import org.nutmegspring.gateway.peers.PeerTable
+import org.nutmegspring.gateway.peers.WindowReport
+import org.nutmegspring.gateway.settings.GatewaySettings
+import org.nutmegspring.gateway.settings.PlatformSettings
+import org.nutmegspring.gateway.store.FeedFollower
+import org.nutmegspring.gateway.store.FeedListener
+import org.nutmegspring.gateway.store.PlatformPorts
+import org.nutmegspring.gateway.store.StoreFeed
+import org.nutmegspring.identity.EndpointId
+import org.nutmegspring.identity.Incarnation
+import org.nutmegspring.identity.InstanceId
+import org.nutmegspring.identity.OrganisationId
+import org.nutmegspring.lease.Duty
+import org.nutmegspring.lease.DutyPlacement
+import org.nutmegspring.lease.HeldLease
+import org.nutmegspring.lease.LeaseHolder
+import org.nutmegspring.lease.LeaseRules
+import org.nutmegspring.lease.LeaseTiming
+import org.nutmegspring.lease.LeaseWish
+import org.nutmegspring.membership.InstancePhase
+import org.nutmegspring.node.control.LeaseKeeper
+import org.nutmegspring.node.control.StoredValues
+import org.nutmegspring.node.control.asCondition
+import org.nutmegspring.placement.PromptPart
+import org.nutmegspring.placement.ServicePlacement
+import org.nutmegspring.platform.ObjectKey
+import org.nutmegspring.time.SuspensionAwareClock
+import org.nutmegspring.time.systemMonotonicClock
+import org.nutmegspring.usage.WindowCounts
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Makes the platform's ports from connections, settings and what is told of unreadable objects. */
+typealias PlatformFactory = (EndpointConnections, PlatformSettings, (String) -> Unit) -> PlatformPorts
+
+/** One running instance of the gateway. */
+class GatewayInstance internal constructor(
+    initial: GatewaySettings,
+    platformFactory: PlatformFactory,
+    private val log: DecisionLog,
+) {
+    private var settings = initial
+    private val loop = EventLoop()
+    private val failures = CoroutineExceptionHandler { _, cause ->
+        log.record(DecisionEvent.PassedOver("a task of the instance", cause.stackTraceToString()))
+    }
+    private val scope = CoroutineScope(loop.dispatcher + SupervisorJob() + failures)
+    private val clock = SuspensionAwareClock(systemMonotonicClock(), System::currentTimeMillis)
+    private val random = Random.Default
+    private val self = initial.instance.id
+    private val incarnation = Incarnation(random.nextLong())
+    private val startedAtMilliseconds = System.currentTimeMillis()
+    private val connections = EndpointConnections(loop, clock, CONNECT_TIMEOUT)
+    private val platform = platformFactory(connections, initial.platform) {
+        log.record(DecisionEvent.PassedOver("an object of the store", it))
+    }
+    private val metrics = GatewayMetrics()
+    private val current = CurrentConfiguration(log)
+    private val quotas = QuotaTable(clock)
+    private val peers = PeerTable(self)
+    private val endpoints = EndpointTable(::cacheCapacity) { endpoint, change ->
+        connections.forget(endpoint.address)
+        log.record(DecisionEvent.EndpointChanged(endpoint, change))
+    }
+    private val counts = WindowCounts(windowLength(initial).inWholeMilliseconds)
+    private val usage = UsageCounter(counts)
+    private val sender = EndpointSender(connections, platform.dialect)
+    private val choice = EngineChoice(endpoints, sender, platform.dialect, initial.instance.dataCentre, clock)
+    private val retries = ServiceRetries(clock, ::retryBounds) { peers.registered.size + 1 }
+    private var phase = InstancePhase.JOINING
+    private var sequence = 0L
+    private val servers = mutableListOf<HttpServer>()
+    private val usageDuty = Duty.UsageWindows(0)
+    private val lease = LeaseKeeper(
+        duty = usageDuty,
+        self = LeaseHolder(self, incarnation),
+        store = platform.store,
+        clock = clock,
+        rules = LeaseRules(LeaseTiming(duration = initial.bounds.leaseMilliseconds.milliseconds, renewEvery = RENEW_EVERY)),
+        wish = ::dutyWish,
+        // A lease that ran out leaves time between the calls of two holders; one given up would not.
+        mayRelease = { false },
+    )
+
+    private fun cacheCapacity(service: org.nutmegspring.identity.ServiceId): Long =
+        current.configuration?.services?.get(service)?.engines?.cacheCapacityTokens ?: DEFAULT_CACHE_TOKENS
+
+    internal fun start() {
+        log.record(DecisionEvent.PhaseChanged("starting", "instance $self, incarnation $incarnation"))
+        val limits = CallerServerLimits()
+        listen(settings.addresses.callers, limits, gatewayHandler())
+        listen(settings.addresses.readiness, PlainServerLimits, readinessHandler(platform.dialect, ::isReady))
+        val keepSeconds = { minOf(ADDRESS_KEEP_SECONDS, settings.bounds.addressKeepSeconds) }
+        listen(settings.addresses.directory, PlainServerLimits, directoryHandler(platform.dialect, keepSeconds, ::addresses))
+        listen(settings.addresses.metrics, PlainServerLimits, metricsHandler(metrics::scrape))
+        registerGauges()
+        val exchange = PeerExchange(loop, settings.addresses.exchange, ::hear) {
+            log.record(DecisionEvent.PassedOver("a report of an instance", it))
+        }
+        follow(platform.configurations, ConfigurationListener(current, quotas, log), CONFIGURATION_WAIT)
+        follow(platform.endpoints, EndpointListener(endpoints, clock, log), ENDPOINT_WAIT)
+        follow(platform.objects(INSTANCES), InstanceListener(peers, quotas, ::decodeRecord, log), INSTANCE_WAIT)
+        scope.launch { register() }
+        scope.launch { exchange.run({ peers.registered.values.map { it.exchangeAddress } }, ::report) }
+        scope.launch { tick() }
+        if (settings.bounds.usageWindowSeconds > 0 && settings.platform.duties.isNotEmpty()) {
+            scope.launch { lease.run() }
+            scope.launch { usageReporter().run() }
+        }
+    }
+
+    /** Takes changed settings. Addresses and the name of the instance stay as they were at the start. */
+    fun reload(changed: GatewaySettings) {
+        settings = changed
+        log.record(DecisionEvent.PhaseChanged(phase.name.lowercase(), "settings were read again"))
+    }
+
+    /** Stops: leaves the address answers, finishes what runs, and returns when the process may end. */
+    suspend fun drain() = withContext(loop.dispatcher) {
+        val began = clock.now()
+        phase = InstancePhase.DRAINING
+        log.record(DecisionEvent.PhaseChanged("draining", "the process was told to stop"))
+        val longest = settings.bounds.stopSeconds.seconds * LONGEST_STOP_SHARE
+        while (clock.now() - began < longest) {
+            val isQuiet = clock.now() - began > LEAST_DRAIN && servers.none { it.isBusy }
+            if (isQuiet) break
+            delay(DRAIN_CHECK)
+        }
+        servers.forEach {
+            it.stopListening()
+            it.closeIdle()
+        }
+        log.record(DecisionEvent.PhaseChanged("stopped", "drained in ${clock.now() - began}"))
+    }
+
+    /** Ends all tasks. */
+    fun close() {
+        scope.cancel()
+        loop.close()
+    }
+
+    private fun gatewayHandler(): RequestHandler {
+        val admission = Admission(current, clock, random, ::admissionBounds)
+        val dataCentre = settings.instance.dataCentre
+        val services =
+            ServiceForwarder(endpoints, sender, ServicePlacement(random), retries, usage, dataCentre, clock)
+        val streams = StreamForwarder(choice, sender, retries, usage, clock)
+        return GatewayHandler(
+            platform.dialect, admission, current, quotas, retries, services, streams, clock, log, metrics, random,
+        )
+    }
+
+    private fun listen(address: String, limits: ServerLimits, handler: RequestHandler) {
+        servers += startHttpServer(loop, scope, address, limits, MAXIMUM_HEADER_BYTES, handler)
+    }
+
+    private fun <T : Any> follow(feed: StoreFeed<T>, listener: FeedListener<T>, wait: Duration) {
+        scope.launch { FeedFollower(feed, listener, clock, wait, random).run() }
+    }
+
+    private fun usageReporter() = UsageReporter(
+        self = self,
+        held = ::heldLease,
+        store = platform.store,
+        duties = platform.duties,
+        counted = ::countedIn,
+        windowLength = windowLength(settings),
+        reportWithin = settings.bounds.usageReportSeconds.seconds,
+        clock = clock,
+        timeOfDayMilliseconds = System::currentTimeMillis,
+        log = log,
+    )
+
+    private var reportedLease: HeldLease? = null
+
+    private fun heldLease(): HeldLease? {
+        val held = lease.held()
+        if (held?.fencing != reportedLease?.fencing) {
+            log.record(DecisionEvent.DutyChanged(usageDuty.key.value, held != null, held?.fencing))
+            reportedLease = held
+        }
+        return held
+    }
+
+    private fun countedIn(window: Long): Map<OrganisationId, Long> {
+        val sums = HashMap<OrganisationId, Long>()
+        (peers.usage(window) + listOfNotNull(usage.snapshot()[window])).forEach { part ->
+            part.forEach { (organisation, count) -> sums.merge(organisation, count, Long::plus) }
+        }
+        return sums
+    }
+
+    private fun dutyWish(): LeaseWish {
+        if (phase != InstancePhase.READY) return LeaseWish.NONE
+        val live = peers.live(clock.now()).filter { it.phase == InstancePhase.READY }.map { it.instance }
+        return DutyPlacement.wish(usageDuty, self, live.toSet() + self)
+    }
+
+    private fun decodeRecord(text: String): InstanceRecord? = try {
+        json.decodeFromString(InstanceRecord.serializer(), text)
+    } catch (unreadable: SerializationException) {
+        log.record(DecisionEvent.PassedOver("the record of an instance", unreadable.message.orEmpty()))
+        null
+    }
+
+    /** Writes the own record, unless the store holds it already. */
+    private suspend fun register() {
+        val records = StoredValues(platform.store, InstanceRecord.serializer())
+        val key = ObjectKey("$INSTANCES/${self.value}")
+        val record = InstanceRecord(settings.addresses.exchange, settings.addresses.callers)
+        while (true) {
+            val found = records.read(key)
+            val isThere = found.fold({ false }, { it?.value == record }) ||
+                found.isRight() && records.write(key, record, found.getOrNull().asCondition()).isRight()
+            if (isThere) return
+            delay(REGISTER_PAUSE)
+        }
+    }
+
+    private suspend fun tick() {
+        while (true) {
+            delay(TICK)
+            val now = clock.now()
+            endpoints.dropLapsed(now)
+            quotas.members(peers.registered.keys)
+            val isServing = current.configuration != null && endpoints.isListed
+            if (phase == InstancePhase.JOINING && isServing) {
+                phase = InstancePhase.READY
+                log.record(DecisionEvent.PhaseChanged("ready", "configuration and endpoints are known"))
+            }
+        }
+    }
+
+    private fun hear(report: PeerReport) {
+        val now = clock.now()
+        if (report.instance == self || !peers.hear(report, now)) return
+        quotas.heard(report)
+        report.loads.forEach { load ->
+            endpoints.state(load.endpoint)?.heard(report.instance, load.waitingTokens, load.requests, now)
+        }
+        report.promptsRead.forEach { prompt ->
+            val chain = prompt.chainHashes.zip(prompt.tokens, ::PromptPart)
+            endpoints.state(prompt.engine)?.reads(chain)
+        }
+    }
+
+    private fun report(): PeerReport = PeerReport(
+        instance = self,
+        incarnation = incarnation,
+        startedAtMilliseconds = startedAtMilliseconds,
+        sequence = ++sequence,
+        dataCentre = settings.instance.dataCentre,
+        callerAddress = settings.addresses.callers,
+        phase = phase,
+        configurationVersion = current.configuration?.version ?: 0,
+        evidenceAgeMilliseconds = current.evidence.age(clock.now())?.inWholeMilliseconds,
+        charges = quotas.charges(),
+        loads = ownLoads(),
+        promptsRead = choice.takePromptsRead(),
+        windows = usage.snapshot().map { (window, counted) -> WindowReport(window, counted) },
+    )
+
+    private var toldIdle: Set<EndpointId> = emptySet()
+
+    /** Returns the own work at endpoints, and once more those where it has just ended. */
+    private fun ownLoads(): List<EndpointLoadReport> {
+        val busy = endpoints.all().filter { it.own.requests > 0 }
+        val ended = toldIdle - busy.map { it.endpoint.id }.toSet()
+        toldIdle = busy.map { it.endpoint.id }.toSet()
+        return busy.map { EndpointLoadReport(it.endpoint.id, it.own.waiting(), it.own.requests) } +
+            ended.map { EndpointLoadReport(it, emptyList(), 0) }
+    }
+
+    private fun isReady(): Boolean = phase == InstancePhase.READY &&
+        current.evidence.isYoungerThan(settings.bounds.revocationMilliseconds.milliseconds, clock.now())
+
+    private fun addresses(): List<String> {
+        val age = current.evidence.age(clock.now())?.inWholeMilliseconds
+        return peers.callerAddresses(OwnAddress(settings.addresses.callers, isReady(), age), clock.now())
+    }
+
+    private fun admissionBounds(): AdmissionBounds = with(settings.bounds) {
+        AdmissionBounds(
+            longestEvidenceAge = if (strictRevocation) revocationMilliseconds.milliseconds * EVIDENCE_SHARE else null,
+            knownEverywhereWithin = configurationMilliseconds.milliseconds * KNOWN_SHARE,
+        )
+    }
+
+    private fun retryBounds(): RetryBounds = with(settings.bounds) {
+        RetryBounds(retryRatio, retryExtra, retryWindowSeconds.seconds)
+    }
+
+    private fun registerGauges() {
+        metrics.gauge("gateway_configuration_version") { current.configuration?.version?.toDouble() ?: 0.0 }
+        metrics.gauge("gateway_evidence_age_seconds") {
+            current.evidence.age(clock.now())?.let { it.inWholeMilliseconds / MILLISECONDS_PER_SECOND } ?: -1.0
+        }
+        metrics.gauge("gateway_endpoints") { endpoints.all().size.toDouble() }
+        metrics.gauge("gateway_live_peers") { peers.live(clock.now()).size.toDouble() }
+        metrics.gauge("gateway_connections_opened") { connections.opened.toDouble() }
+        metrics.gauge("gateway_duty_held") { if (lease.held() != null) 1.0 else 0.0 }
+    }
+
+    private inner class CallerServerLimits : ServerLimits {
+        private val configured get() = current.configuration?.limits
+        override val bodyBytes: Int get() = configured?.bodyBytes ?: PlainServerLimits.bodyBytes
+        override val requestTimeout: Duration get() = configured?.headerTimeout ?: PlainServerLimits.requestTimeout
+        override val idleTimeout: Duration get() = configured?.idleTimeout ?: PlainServerLimits.idleTimeout
+        override val isStopping: Boolean get() = phase == InstancePhase.DRAINING
+    }
+
+    private object PlainServerLimits : ServerLimits {
+        override val bodyBytes: Int = 4 * 1024 * 1024
+        override val requestTimeout: Duration = 3.seconds
+        override val idleTimeout: Duration = 15.seconds
+        override val isStopping: Boolean = false
+    }
+
+    private companion object {
+        val json = Json { ignoreUnknownKeys = true }
+
+        /** The kind of the objects that name the instances. */
+        const val INSTANCES = "instances"
+
+        /** A few times the longest way between data centres; a connection that was lost on the way takes seconds. */
+        val CONNECT_TIMEOUT = 400.milliseconds
+
+        /** Shorter waits prove more often that the configuration is the newest, and cost more calls. */
+        val CONFIGURATION_WAIT = 1200.milliseconds
+
+        /** A silent connection to the store is noticed after this and a margin, within the time for departing endpoints. */
+        val ENDPOINT_WAIT = 1000.milliseconds
+        val INSTANCE_WAIT = 10.seconds
+        val RENEW_EVERY = 1.seconds
+        val REGISTER_PAUSE = 300.milliseconds
+        val TICK = 100.milliseconds
+
+        /** Callers learn of a departing instance within this time. */
+        const val ADDRESS_KEEP_SECONDS = 2
+
+        /** Callers that keep an answer for its time have moved by then. */
+        val LEAST_DRAIN = 2500.milliseconds
+        val DRAIN_CHECK = 50.milliseconds
+
+        /** The part of the time given that is used for finishing what runs. */
+        const val LONGEST_STOP_SHARE = 0.8
+
+        /** The part of the time for revocation up to which the proof may age; the rest covers the way to an endpoint. */
+        const val EVIDENCE_SHARE = 0.9
+
+        /** The part of the time for a new configuration within which an unknown key or route is refused for good. */
+        const val KNOWN_SHARE = 0.9
+        const val DEFAULT_CACHE_TOKENS = 500_000L
+        const val MAXIMUM_HEADER_BYTES = 32_768
+        const val MILLISECONDS_PER_SECOND = 1000.0
+
+        fun windowLength(settings: GatewaySettings): Duration =
+            if (settings.bounds.usageWindowSeconds > 0) settings.bounds.usageWindowSeconds.seconds else 5.seconds
+    }
+}
+
+/** Starts an instance with [settings] on the platform that [platformFactory] makes. */
+fun startGateway(settings: GatewaySettings, log: DecisionLog, platformFactory: PlatformFactory): GatewayInstance =
+    GatewayInstance(settings, platformFactory, log).also { it.start() }
--- /dev/null
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayState.kt
@@ -0,0 +1,95 @@
+package org.nutmegspring.gateway.instance
+
+import org.nutmegspring.gateway.configuration.ServingConfiguration
+import org.nutmegspring.gateway.endpoints.EndpointTable
+import org.nutmegspring.gateway.endpoints.ServingEndpoint
+import org.nutmegspring.gateway.forwarding.CurrentConfiguration
+import org.nutmegspring.gateway.forwarding.QuotaTable
+import org.nutmegspring.gateway.observe.DecisionEvent
+import org.nutmegspring.gateway.observe.DecisionLog
+import org.nutmegspring.gateway.peers.InstanceRecord
+import org.nutmegspring.gateway.peers.PeerTable
+import org.nutmegspring.gateway.store.FeedEvent
+import org.nutmegspring.gateway.store.FeedListener
+import org.nutmegspring.gateway.store.Listing
+import org.nutmegspring.identity.InstanceId
+import org.nutmegspring.platform.StoreFailure
+import org.nutmegspring.time.MonotonicClock
+import org.nutmegspring.time.MonotonicTime
+
+/** Logs when the store stops and starts answering one feed. */
+internal abstract class LoggedFeedListener<T>(
+    private val feed: String,
+    private val log: DecisionLog,
+) : FeedListener<T> {
+    override fun lost(failure: StoreFailure) = log.record(DecisionEvent.DependencyLost("store: $feed", failure.toString()))
+
+    override fun regained() = log.record(DecisionEvent.DependencyRegained("store: $feed"))
+}
+
+/** Applies configurations, and takes every answer as proof of which is the newest. */
+internal class ConfigurationListener(
+    private val current: CurrentConfiguration,
+    private val quotas: QuotaTable,
+    log: DecisionLog,
+) : LoggedFeedListener<ServingConfiguration>("configuration", log) {
+    override fun listed(listing: Listing<ServingConfiguration>, began: MonotonicTime, regainedAt: MonotonicTime?) {
+        listing.entries.forEach { entry -> entry.value?.let(::apply) }
+        if (current.configuration != null) current.evidence.proved(began)
+    }
+
+    override fun changed(
+        events: List<FeedEvent<ServingConfiguration>>,
+        began: MonotonicTime,
+        regainedAt: MonotonicTime?,
+    ) {
+        events.filterIsInstance<FeedEvent.Changed<ServingConfiguration>>().forEach { it.entry.value?.let(::apply) }
+        current.evidence.proved(began)
+    }
+
+    private fun apply(configuration: ServingConfiguration) {
+        if (current.offer(configuration)) quotas.configure(configuration)
+    }
+}
+
+/** Applies changes of endpoints. */
+internal class EndpointListener(
+    private val endpoints: EndpointTable,
+    private val clock: MonotonicClock,
+    log: DecisionLog,
+) : LoggedFeedListener<ServingEndpoint>("endpoints", log) {
+    override fun listed(listing: Listing<ServingEndpoint>, began: MonotonicTime, regainedAt: MonotonicTime?) =
+        endpoints.replace(listing, regainedAt, clock.now())
+
+    override fun changed(events: List<FeedEvent<ServingEndpoint>>, began: MonotonicTime, regainedAt: MonotonicTime?) =
+        events.forEach { endpoints.apply(it, regainedAt, clock.now()) }
+}
+
+/** Applies changes of the list of instances. */
+internal class InstanceListener(
+    private val peers: PeerTable,
+    private val quotas: QuotaTable,
+    private val decode: (String) -> InstanceRecord?,
+    log: DecisionLog,
+) : LoggedFeedListener<String>("instances", log) {
+    override fun listed(listing: Listing<String>, began: MonotonicTime, regainedAt: MonotonicTime?) {
+        val listed = listing.entries.map { InstanceId(it.name) }.toSet()
+        peers.registered.keys.filter { it !in listed }.forEach(peers::unregister)
+        listing.entries.forEach { entry -> register(entry.name, entry.value) }
+        quotas.members(peers.registered.keys)
+    }
+
+    override fun changed(events: List<FeedEvent<String>>, began: MonotonicTime, regainedAt: MonotonicTime?) {
+        for (event in events) {
+            when (event) {
+                is FeedEvent.Changed -> register(event.entry.name, event.entry.value)
+                is FeedEvent.Removed -> peers.unregister(InstanceId(event.name))
+            }
+        }
+        quotas.members(peers.registered.keys)
+    }
+
+    private fun register(name: String, value: String?) {
+        value?.let(decode)?.let { peers.register(InstanceId(name), it) }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PlainHandlers.kt
@@ -0,0 +1,50 @@
+package org.nutmegspring.gateway.instance
+
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaderNames
+import org.nutmegspring.gateway.http.HttpCall
+import org.nutmegspring.gateway.http.RequestHandler
+import org.nutmegspring.gateway.wire.ServingDialect
+
+/** Says whether the instance takes requests. */
+internal fun readinessHandler(dialect: ServingDialect, isReady: () -> Boolean) = RequestHandler { exchange ->
+    val status = when {
+        !dialect.isReadinessQuery(exchange.call.target) -> STATUS_NOT_FOUND
+        isReady() -> STATUS_OK
+        else -> STATUS_UNAVAILABLE
+    }
+    exchange.respond(status, DefaultHttpHeaders(), HttpCall.EMPTY)
+}
+
+/** Says which addresses callers should use. */
+internal fun directoryHandler(
+    dialect: ServingDialect,
+    keepSeconds: () -> Int,
+    addresses: () -> List<String>,
+) = RequestHandler { exchange ->
+    val known = addresses()
+    val isQuery = dialect.readAddressQuery(exchange.call.target) != null
+    if (!isQuery || known.isEmpty()) {
+        exchange.respond(if (isQuery) STATUS_UNAVAILABLE else STATUS_NOT_FOUND, DefaultHttpHeaders(), HttpCall.EMPTY)
+    } else {
+        val headers = DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+        exchange.respond(STATUS_OK, headers, dialect.addressAnswer(known.take(MAXIMUM_ADDRESSES), keepSeconds()))
+    }
+}
+
+/** Shows counters and latencies. */
+internal fun metricsHandler(scrape: () -> String) = RequestHandler { exchange ->
+    if (exchange.call.target.substringBefore('?') == "/metrics") {
+        val headers = DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; version=0.0.4")
+        exchange.respond(STATUS_OK, headers, scrape().encodeToByteArray())
+    } else {
+        exchange.respond(STATUS_NOT_FOUND, DefaultHttpHeaders(), HttpCall.EMPTY)
+    }
+}
+
+private const val STATUS_OK = 200
+private const val STATUS_NOT_FOUND = 404
+private const val STATUS_UNAVAILABLE = 503
+
+/** Callers take no more addresses from one answer. */
+private const val MAXIMUM_ADDRESSES = 64
--- /dev/null
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
@@ -0,0 +1,57 @@
+package org.nutmegspring.gateway.peers
+
+import kotlinx.serialization.Serializable
+import org.nutmegspring.identity.DataCentreId
+import org.nutmegspring.identity.EndpointId
+import org.nutmegspring.identity.Incarnation
+import org.nutmegspring.identity.InstanceId
+import org.nutmegspring.identity.OrganisationId
+import org.nutmegspring.membership.InstancePhase
+
+/** The work of the sender at one endpoint. */
+@Serializable
+data class EndpointLoadReport(
+    val endpoint: EndpointId,
+    val waitingTokens: List<Long>,
+    val requests: Int,
+)
+
+/** A prompt that the sender had an engine read. The lists hold the parts in order. */
+@Serializable
+data class PromptReadReport(
+    val engine: EndpointId,
+    val chainHashes: List<Long>,
+    val tokens: List<Int>,
+)
+
+/** Requests that began to run in one usage window, as counted by the sender since it started. */
+@Serializable
+data class WindowReport(
+    val window: Long,
+    val counts: Map<OrganisationId, Long>,
+)
+
+/**
+ * What an instance tells the others several times a second. Each message stands for itself, so a lost one does no harm.
+ *
+ * @property startedAtMilliseconds when the process started, in milliseconds since the epoch
+ * @property sequence numbers the reports of one process
+ * @property evidenceAgeMilliseconds how old the proof is that its configuration is the newest, null without one
+ * @property charges units charged to each organisation since the process started
+ */
+@Serializable
+data class PeerReport(
+    val instance: InstanceId,
+    val incarnation: Incarnation,
+    val startedAtMilliseconds: Long,
+    val sequence: Long,
+    val dataCentre: DataCentreId,
+    val callerAddress: String,
+    val phase: InstancePhase,
+    val configurationVersion: Long,
+    val evidenceAgeMilliseconds: Long?,
+    val charges: Map<OrganisationId, Long>,
+    val loads: List<EndpointLoadReport>,
+    val promptsRead: List<PromptReadReport>,
+    val windows: List<WindowReport>,
+)
--- /dev/null
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/store/PlatformPorts.kt
@@ -0,0 +1,72 @@
+package org.nutmegspring.gateway.store
+
+import arrow.core.Either
+import org.nutmegspring.endpoint.EngineRole
+import org.nutmegspring.gateway.configuration.ServingConfiguration
+import org.nutmegspring.gateway.endpoints.ServingEndpoint
+import org.nutmegspring.gateway.wire.ServingDialect
+import org.nutmegspring.identity.DataCentreId
+import org.nutmegspring.identity.FencingNumber
+import org.nutmegspring.identity.InstanceId
+import org.nutmegspring.identity.OrganisationId
+import org.nutmegspring.identity.ServiceId
+import org.nutmegspring.platform.ObjectStore
+import org.nutmegspring.platform.StoreFailure
+import kotlin.time.Duration
+
+/** Who makes a call under a duty. */
+data class DutyHolder(
+    val instance: InstanceId,
+    val fencing: FencingNumber,
+)
+
+/** How many endpoints of a service should run in a data centre. */
+data class PoolTarget(
+    val service: ServiceId,
+    val dataCentre: DataCentreId,
+    val endpoints: Int,
+    val reclaimable: Boolean,
+)
+
+/** Calls that only the holder of a duty may make. Each is paid for. */
+interface DutyCalls {
+    /** Reports how many requests of each organisation began in [window]. A repeat of the same report is harmless. */
+    suspend fun reportUsage(
+        window: Long,
+        counts: Map<OrganisationId, Long>,
+        holder: DutyHolder,
+        timeout: Duration,
+    ): Either<StoreFailure, Unit>
+
+    /** Asks the platform for [target]. */
+    suspend fun orderEndpoints(target: PoolTarget, holder: DutyHolder, timeout: Duration): Either<StoreFailure, Unit>
+
+    /** Asks [engine] to change to [role]. */
+    suspend fun orderRole(
+        engine: ServingEndpoint,
+        role: EngineRole,
+        holder: DutyHolder,
+        timeout: Duration,
+    ): Either<StoreFailure, Unit>
+}
+
+/** Everything that the gateway needs of the platform. */
+interface PlatformPorts {
+    /** Heads of requests and answers. */
+    val dialect: ServingDialect
+
+    /** The configurations that operators wrote; one object holds the newest. */
+    val configurations: StoreFeed<ServingConfiguration>
+
+    /** The endpoints, as they describe themselves. */
+    val endpoints: StoreFeed<ServingEndpoint>
+
+    /** The store for objects of the gateway's own kinds. */
+    val store: ObjectStore
+
+    /** Calls under duties. */
+    val duties: DutyCalls
+
+    /** Returns the feed of the gateway's own objects of [kind], as text. */
+    fun objects(kind: String): StoreFeed<String>
+}
--- a/node/src/main/kotlin/org/nutmegspring/node/control/HttpUsageReports.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/control/HttpUsageReports.kt
@@ -12,7 +12,7 @@
 import org.nutmegspring.failure.Peer
 import org.nutmegspring.failure.Step
 import org.nutmegspring.platform.UsageReport
-import org.nutmegspring.platform.http.PlatformPaths
+import org.nutmegspring.storeclient.PlatformPaths
 import kotlin.time.Duration
 
 /** Opens HTTP connections to the platform's usage interface at [address], `host:port`. */
--- a/node/src/main/kotlin/org/nutmegspring/node/control/StoredValues.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/control/StoredValues.kt
@@ -19,13 +19,13 @@
 import org.nutmegspring.platform.WriteCondition
 
 /** A value of the store with its version. */
-internal data class StoredValue<out T>(
+data class StoredValue<out T>(
     val version: ObjectVersion,
     val value: T,
 )
 
 /** Reads and writes values of one type as JSON objects of the platform's store. */
-internal class StoredValues<T : Any>(
+class StoredValues<T : Any>(
     private val store: ObjectStore,
     private val serializer: KSerializer<T>,
 ) {
@@ -51,5 +51,5 @@
 }
 
 /** Returns the condition under which a write replaces this value, or creates it when it is null. */
-internal fun StoredValue<*>?.asCondition(): WriteCondition =
+fun StoredValue<*>?.asCondition(): WriteCondition =
     if (this == null) WriteCondition.Absent else WriteCondition.AtVersion(version)
--- a/node/src/main/kotlin/org/nutmegspring/node/instance/Instance.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/instance/Instance.kt
@@ -38,7 +38,7 @@
 import org.nutmegspring.node.routing.LoadAwareChooser
 import org.nutmegspring.node.routing.MembershipRoutingPeers
 import org.nutmegspring.node.settings.Settings
-import org.nutmegspring.platform.http.httpPlatform
+import org.nutmegspring.storeclient.httpPlatform
 import org.nutmegspring.time.systemMonotonicClock
 import java.security.SecureRandom
 import kotlin.time.Duration.Companion.milliseconds
--- a/node/src/main/kotlin/org/nutmegspring/node/settings/SettingsLoader.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/settings/SettingsLoader.kt
@@ -3,9 +3,6 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.raise.either
-import arrow.core.right
-import com.charleskorn.kaml.MissingRequiredPropertyException
-import com.charleskorn.kaml.UnknownPropertyException
 import com.charleskorn.kaml.Yaml
 import com.charleskorn.kaml.YamlException
 import com.charleskorn.kaml.YamlMap
@@ -35,33 +32,8 @@
         settings
     }
 
-    private fun decode(name: String, text: String): Either<SettingsProblem, Settings> = try {
-        val given = Yaml.default.parseToYamlNode(text)
-        Yaml.default.decodeFromYamlNode(Settings.serializer(), merge(defaults, given)).right()
-    } catch (malformed: YamlException) {
-        val innermost = generateSequence(malformed) { it.cause as? YamlException }.last()
-        problem(name, innermost, describe(innermost)).left()
-    }
-
-    private fun describe(cause: YamlException): String = when (cause) {
-        is UnknownPropertyException -> {
-            val nearest = nearestName(cause.propertyName, cause.validPropertyNames)
-            "unknown setting '${cause.propertyName}'" + nearest?.let { "; did you mean '$it'?" }.orEmpty()
-        }
-
-        is MissingRequiredPropertyException -> {
-            "'${cause.propertyName}' is missing"
-        }
-
-        else -> {
-            cause.message
-        }
-    }
-
-    private fun problem(file: String, cause: YamlException, message: String): SettingsProblem {
-        val path = cause.path.toHumanReadableString().ifEmpty { "settings" }
-        return SettingsProblem(file, cause.line, path, message)
-    }
+    private fun decode(name: String, text: String): Either<SettingsProblem, Settings> =
+        decodeSettings(Settings.serializer(), name, text) { merge(defaults, it) }
 
     private fun lineOf(text: String, path: String): Int? = try {
         val root = Yaml.default.parseToYamlNode(text)
--- a/node/src/test/kotlin/org/nutmegspring/node/control/EngineOrdererSpec.kt
+++ b/node/src/test/kotlin/org/nutmegspring/node/control/EngineOrdererSpec.kt
@@ -15,7 +15,7 @@
 import org.nutmegspring.lease.LeaseTiming
 import org.nutmegspring.order.EngineOrderRules
 import org.nutmegspring.order.orderKey
-import org.nutmegspring.platform.http.httpPlatform
+import org.nutmegspring.storeclient.httpPlatform
 import org.nutmegspring.standin.engine.EngineStandIn
 import org.nutmegspring.standin.engine.EngineStandInSettings
 import org.nutmegspring.standin.platform.PlatformStandIn
--- a/node/src/test/kotlin/org/nutmegspring/node/control/UsageRuntimeSpec.kt
+++ b/node/src/test/kotlin/org/nutmegspring/node/control/UsageRuntimeSpec.kt
@@ -21,7 +21,7 @@
 import org.nutmegspring.membership.MemberState
 import org.nutmegspring.node.TestFleet
 import org.nutmegspring.node.membership.Membership
-import org.nutmegspring.platform.http.httpPlatform
+import org.nutmegspring.storeclient.httpPlatform
 import org.nutmegspring.protocol.InnerHandler
 import org.nutmegspring.protocol.InnerNetwork
 import org.nutmegspring.protocol.InnerReply
--- a/stand-ins/src/main/kotlin/org/nutmegspring/standin/platform/PlatformStandIn.kt
+++ b/stand-ins/src/main/kotlin/org/nutmegspring/standin/platform/PlatformStandIn.kt
@@ -34,10 +34,10 @@
 import org.nutmegspring.platform.UsageReport
 import org.nutmegspring.platform.VersionedObject
 import org.nutmegspring.platform.WriteCondition
-import org.nutmegspring.platform.http.ConflictReply
-import org.nutmegspring.platform.http.PlatformPaths
-import org.nutmegspring.platform.http.WriteReply
-import org.nutmegspring.platform.http.platformJson
+import org.nutmegspring.storeclient.ConflictReply
+import org.nutmegspring.storeclient.PlatformPaths
+import org.nutmegspring.storeclient.WriteReply
+import org.nutmegspring.storeclient.platformJson
 import org.nutmegspring.standin.server.StandInServer
 import org.nutmegspring.standin.server.startStandInServer
 import org.nutmegspring.time.systemMonotonicClock
--- a/stand-ins/src/main/kotlin/org/nutmegspring/standin/platform/Registration.kt
+++ b/stand-ins/src/main/kotlin/org/nutmegspring/standin/platform/Registration.kt
@@ -8,8 +8,8 @@
 import kotlinx.serialization.KSerializer
 import org.nutmegspring.platform.ListedEndpoint
 import org.nutmegspring.platform.ListedInstance
-import org.nutmegspring.platform.http.PlatformPaths
-import org.nutmegspring.platform.http.platformJson
+import org.nutmegspring.storeclient.PlatformPaths
+import org.nutmegspring.storeclient.platformJson
 
 /** Adds [endpoint] to the list of the platform stand-in at [platformAddress]. */
 suspend fun registerEndpoint(platformAddress: String, endpoint: ListedEndpoint) =
--- a/stand-ins/src/test/kotlin/org/nutmegspring/standin/platform/PlatformStandInSpec.kt
+++ b/stand-ins/src/test/kotlin/org/nutmegspring/standin/platform/PlatformStandInSpec.kt
@@ -12,7 +12,7 @@
 import org.nutmegspring.platform.StoreFailure
 import org.nutmegspring.platform.VersionedObject
 import org.nutmegspring.platform.WriteCondition
-import org.nutmegspring.platform.http.httpPlatform
+import org.nutmegspring.storeclient.httpPlatform
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
--- a/platform/src/main/kotlin/org/nutmegspring/platform/http/Platform.kt
+++ b/store-client/src/main/kotlin/org/nutmegspring/storeclient/Platform.kt
@@ -1,4 +1,4 @@
-package org.nutmegspring.platform.http
+package org.nutmegspring.storeclient
 
 import arrow.core.Either
 import arrow.core.left
--- a/platform/src/main/kotlin/org/nutmegspring/platform/http/PlatformMessages.kt
+++ b/store-client/src/main/kotlin/org/nutmegspring/storeclient/PlatformMessages.kt
@@ -1,4 +1,4 @@
-package org.nutmegspring.platform.http
+package org.nutmegspring.storeclient
 
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
