Count quotas over the agreed window and refuse what callers would not wait for

Cause: a bucket refilled at the rate refuses what the agreed window allows; instances without charges counted as unheard.

--- a/decisions/src/main/kotlin/org/nutmegspring/placement/EngineLoad.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/placement/EngineLoad.kt
@@ -32,7 +32,7 @@
     /** Returns the tokens that the engine reads before a request of [urgency]. */
     fun ahead(urgency: Int): Long {
         var sum = 0L
-        for (level in 0..level(urgency)) sum += waiting[level]
+        for (level in waiting.indices) sum += waiting[level]
         return sum
     }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/configuration/ServingConfiguration.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/configuration/ServingConfiguration.kt
@@ -5,6 +5,7 @@
 import org.nutmegspring.identity.ServiceId
 import org.nutmegspring.quota.QuotaRate
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** A secret that a caller presents. It is never logged and never forwarded. */
 @JvmInline
@@ -63,7 +64,21 @@
     val urgency: Int,
     val maximumAttempts: Int,
     val isPublic: Boolean,
-)
+) {
+    /** How long a caller waits for the first output of a stream before it leaves. */
+    val firstOutputPatience: Duration
+        get() {
+            val pause = (kind as? RouteKind.Streaming)?.longestPause ?: Duration.ZERO
+            return maxOf(LEAST_PATIENCE, objective * PATIENCE_OBJECTIVES, pause * PATIENCE_PAUSES)
+        }
+
+    private companion object {
+        /** Callers leave a silent stream after the longest of these three times. */
+        val LEAST_PATIENCE = 2.seconds
+        const val PATIENCE_OBJECTIVES = 4
+        const val PATIENCE_PAUSES = 8
+    }
+}
 
 /**
  * What the engines of a service can do.
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/RequestRun.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/RequestRun.kt
@@ -62,6 +62,10 @@
     /** The time left until the deadline. */
     fun timeLeft(): Duration = (deadline - clock.now()).coerceAtLeast(Duration.ZERO)
 
+    /** The time left until the caller leaves without a first output. */
+    fun firstOutputTimeLeft(): Duration =
+        minOf(timeLeft(), admitted.route.firstOutputPatience - (clock.now() - startedAt))
+
     /** The time since the request was taken up, in milliseconds. */
     fun elapsedMilliseconds(): Long = (clock.now() - startedAt).inWholeMilliseconds
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
@@ -13,6 +13,7 @@
 import org.nutmegspring.quota.QuotaVerdict
 import org.nutmegspring.quota.SharedQuota
 import org.nutmegspring.time.MonotonicClock
+import kotlin.time.Duration
 
 /** The configuration in force at this instance. It never goes back to an older version. */
 class CurrentConfiguration(private val log: DecisionLog) {
@@ -41,7 +42,7 @@
 }
 
 /** The quotas of all organisations at this instance. */
-class QuotaTable(private val clock: MonotonicClock) {
+class QuotaTable(private val clock: MonotonicClock, private val window: () -> Duration) {
     private val quotas = HashMap<OrganisationId, SharedQuota>()
 
     /** Takes the rates of [configuration]. */
@@ -52,7 +53,7 @@
             val known = quotas[organisation.id]
             when {
                 rate == null -> quotas.remove(organisation.id)
-                known == null -> quotas[organisation.id] = SharedQuota(rate, now)
+                known == null -> quotas[organisation.id] = SharedQuota(rate, window(), now)
                 else -> known.resize(rate, now)
             }
         }
@@ -62,8 +63,9 @@
     /** Takes the charges that another instance tells. */
     fun heard(report: PeerReport) {
         val now = clock.now()
-        for ((organisation, units) in report.charges) {
-            quotas[organisation]?.heard(PeerCharges(report.instance, report.incarnation, units, now), now)
+        for ((organisation, quota) in quotas) {
+            val units = report.charges[organisation] ?: 0
+            quota.heard(PeerCharges(report.instance, report.incarnation, units, now), now)
         }
     }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -41,9 +41,10 @@
             val plan = choice.choose(run) ?: return last
             val expected = plan.expectedMilliseconds.milliseconds
             if (run.trace.expectedMilliseconds == null) run.trace.expectedMilliseconds = plan.expectedMilliseconds
-            if (!progress.hasOutput && expected > run.timeLeft()) {
+            val patience = run.firstOutputTimeLeft()
+            if (!progress.hasOutput && expected > patience) {
                 if (run.mayHaveRun) return last
-                return RunEnd.NotRun("the first output would be late", expected - run.timeLeft())
+                return RunEnd.NotRun("the caller would leave before the first output", expected - patience)
             }
             val isFurther = run.trace.endpoints.isNotEmpty()
             if (isFurther && !retries.take(run.admitted.service)) return last
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -97,7 +97,7 @@
     }
     private val metrics = GatewayMetrics()
     private val current = CurrentConfiguration(log)
-    private val quotas = QuotaTable(clock)
+    private val quotas = QuotaTable(clock) { settings.bounds.quotaWindowSeconds.seconds }
     private val peers = PeerTable(self)
     private val endpoints = EndpointTable(::cacheCapacity) { endpoint, change ->
         connections.forget(endpoint.address)
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/settings/GatewaySettings.kt
@@ -62,6 +62,8 @@
     val retryExtra: Double,
     /** The window for such sendings. */
     val retryWindowSeconds: Double,
+    /** The window in which an organisation keeps to its rate and burst. */
+    val quotaWindowSeconds: Double,
     /** How long a duty's holder is alone after the last call of another. */
     val leaseMilliseconds: Long,
     /** The length of a usage window; 0 when usage is not reported. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/settings/GatewaySettingsLoader.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/settings/GatewaySettingsLoader.kt
@@ -45,6 +45,7 @@
                 "bounds.configurationMilliseconds" to configurationMilliseconds.toDouble(),
                 "bounds.stopSeconds" to stopSeconds,
                 "bounds.retryWindowSeconds" to retryWindowSeconds,
+                "bounds.quotaWindowSeconds" to quotaWindowSeconds,
                 "bounds.leaseMilliseconds" to leaseMilliseconds.toDouble(),
                 "bounds.addressKeepSeconds" to addressKeepSeconds.toDouble(),
                 "logs.linesPerSecond" to settings.logs.linesPerSecond.toDouble(),
