Let most engines read prompts and a few generate

Cause: prompts read beside generating delayed the outputs of prompts read elsewhere: prefilled after 408 ms, first output after 1,021 ms (median of hand-overs with 5,000 to 15,000 tokens ahead).

--- a/decisions/src/main/kotlin/org/nutmegspring/placement/EnginePlacement.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/placement/EnginePlacement.kt
@@ -42,13 +42,19 @@
     /** The time until the first output, in milliseconds. */
     val expectedMilliseconds: Double
 
+    /** The engine that reads the prompt, as it was believed to be. */
+    val reader: EngineCandidate
+
     /** One engine reads the prompt and generates. */
-    data class Direct(val engine: EndpointId, override val expectedMilliseconds: Double) : EnginePlan
+    data class Direct(
+        override val reader: EngineCandidate,
+        override val expectedMilliseconds: Double,
+    ) : EnginePlan
 
-    /** [prefill] reads the prompt, and [decode] fetches what was read and generates. */
+    /** [reader] reads the prompt, and [generator] fetches what was read and generates. */
     data class Handover(
-        val prefill: EndpointId,
-        val decode: EndpointId,
+        override val reader: EngineCandidate,
+        val generator: EndpointId,
         override val expectedMilliseconds: Double,
     ) : EnginePlan
 }
@@ -91,12 +97,12 @@
         }
         return when {
             direct != null && directCost(direct, work, from) <= handover -> {
-                EnginePlan.Direct(direct.id, readMilliseconds(direct, work) + FIRST_STEP_MILLISECONDS)
+                EnginePlan.Direct(direct, readMilliseconds(direct, work) + FIRST_STEP_MILLISECONDS)
             }
 
             reader != null && target != null -> {
                 val expected = readMilliseconds(reader, work) + fetchMilliseconds(target, reader, work)
-                EnginePlan.Handover(reader.id, target.id, expected + FIRST_STEP_MILLISECONDS)
+                EnginePlan.Handover(reader, target.id, expected + FIRST_STEP_MILLISECONDS)
             }
 
             else -> {
@@ -124,7 +130,8 @@
 
     private fun directCost(engine: EngineCandidate, work: PlacedWork, from: DataCentreId): Double {
         val distance = if (engine.dataCentre == from) 0.0 else OTHER_DATA_CENTRE_MILLISECONDS
-        return readCost(engine, work) + engine.requests * REQUEST_MILLISECONDS + distance
+        val delayed = DELAYED_OUTPUTS_WEIGHT * unread(engine, work) / speed(engine)
+        return readCost(engine, work) + engine.requests * REQUEST_MILLISECONDS + distance + delayed
     }
 
     private fun fetchMilliseconds(target: EngineCandidate, source: EngineCandidate, work: PlacedWork): Double {
@@ -136,7 +143,7 @@
     private fun fetchCost(target: EngineCandidate, source: EngineCandidate, work: PlacedWork): Double {
         val moved = work.promptTokens * speeds.cacheBytesPerToken
         return fetchMilliseconds(target, source, work) + moved * MOVED_BYTE_MILLISECONDS +
-            target.requests * REQUEST_MILLISECONDS + target.tokensAhead / speed(target) * DECODE_SHARE_OF_QUEUE
+            target.requests * REQUEST_MILLISECONDS + target.tokensAhead / speed(target)
     }
 
     /** Ranks engines for a chain that none of them holds, alike at every instance. */
@@ -166,8 +173,8 @@
         /** Weighs the price of moving a gigabyte like 10 ms of delay. */
         const val MOVED_BYTE_MILLISECONDS = 1e-8
 
-        /** A decoding engine reads prompts between steps, so its queue delays a fetched request only in part. */
-        const val DECODE_SHARE_OF_QUEUE = 0.25
+        /** Weighs the time for which a prompt read beside generating delays the outputs of prompts read elsewhere. */
+        const val DELAYED_OUTPUTS_WEIGHT = 1.0
 
         /** The greatest handicap by rank; smaller than reading a usual shared part. */
         const val RANK_MILLISECONDS = 20.0
--- /dev/null
+++ b/decisions/src/main/kotlin/org/nutmegspring/roles/StageBalance.kt
@@ -0,0 +1,71 @@
+package org.nutmegspring.roles
+
+import org.nutmegspring.endpoint.EngineRole
+import org.nutmegspring.identity.DataCentreId
+import org.nutmegspring.identity.EndpointId
+import kotlin.math.roundToInt
+
+/** An engine as the balance of roles sees it. */
+data class BalancedEngine(
+    val id: EndpointId,
+    val role: EngineRole,
+    val dataCentre: DataCentreId,
+)
+
+/** An engine and the role that it should take. */
+data class RoleChange(
+    val engine: EndpointId,
+    val role: EngineRole,
+)
+
+/**
+ * Decides which engines only generate.
+ *
+ * Load pattern: prompts of thousands of tokens for answers of a few. An engine reads prompts at full speed in the
+ * prefill role and at a part of it beside generating, and what it reads there delays the outputs of prompts read
+ * elsewhere. So most engines read, and a few generate for all. What is generated binds nothing until the share of
+ * generating engines is very small; the least number covers the loss of one.
+ */
+class StageBalance(
+    private val generatorShare: Double = DEFAULT_GENERATOR_SHARE,
+    private val leastGenerators: Int = DEFAULT_LEAST_GENERATORS,
+) {
+    /** Returns the changes that [engines] need, none while the number of generating engines is near its target. */
+    fun changes(engines: List<BalancedEngine>): List<RoleChange> {
+        if (engines.size <= leastGenerators) return emptyList()
+        val target = maxOf(leastGenerators, (engines.size * generatorShare).roundToInt())
+        val generators = engines.filter { it.role == EngineRole.DECODE }
+        val readers = engines.filter { it.role == EngineRole.PREFILL }
+        return when {
+            generators.size > target + SLACK -> {
+                mostCrowded(generators, generators.size - target).map { RoleChange(it.id, EngineRole.PREFILL) }
+            }
+
+            generators.size < minOf(target, leastGenerators) -> {
+                mostCrowded(readers, target - generators.size).map { RoleChange(it.id, EngineRole.DECODE) }
+            }
+
+            else -> {
+                emptyList()
+            }
+        }
+    }
+
+    /** Takes [count] of [engines], each from the data centre that then has the most of them. */
+    private fun mostCrowded(engines: List<BalancedEngine>, count: Int): List<BalancedEngine> {
+        val left = engines.sortedBy { it.id }.toMutableList()
+        return List(minOf(count, engines.size)) {
+            val crowded = left.groupingBy { engine -> engine.dataCentre }.eachCount().maxBy { it.value }.key
+            left.first { it.dataCentre == crowded }.also(left::remove)
+        }
+    }
+
+    private companion object {
+        /** Fetching a prompt takes an engine's link about a tenth of the time that reading it takes an engine. */
+        const val DEFAULT_GENERATOR_SHARE = 0.2
+        const val DEFAULT_LEAST_GENERATORS = 3
+
+        /** An order takes an engine away for seconds; one engine more or less is no reason. */
+        const val SLACK = 1
+    }
+}
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
@@ -41,13 +41,13 @@
     /** Has the prompt read where [plan] says so. Returns null when that failed and another plan is needed. */
     suspend fun prepare(run: RequestRun, plan: EnginePlan): PreparedEngine? = when (plan) {
         is EnginePlan.Direct -> {
-            endpoints.state(plan.engine)?.let { prepared(run, it, DispatchStage.Whole, plan) }
+            endpoints.state(plan.reader.id)?.let { prepared(run, it, DispatchStage.Whole, plan) }
         }
 
         is EnginePlan.Handover -> {
-            val reader = endpoints.state(plan.prefill)
+            val reader = endpoints.state(plan.reader.id)
             val handle = reader?.let { prefill(run, it, plan) }
-            val target = endpoints.state(plan.decode)
+            val target = endpoints.state(plan.generator)
             if (reader == null || handle == null || target == null) {
                 null
             } else {
@@ -98,6 +98,7 @@
                 run.failed(reader, failure)
             } else {
                 ticket.firstOutput()
+                run.trace.prefilledMilliseconds = run.elapsedMilliseconds()
                 reader.health.succeeded()
             }
             return prefilled
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/RequestRun.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/RequestRun.kt
@@ -46,7 +46,7 @@
     private val log: DecisionLog,
 ) {
     /** What happened so far. */
-    val trace = RequestTrace()
+    val trace = RequestTrace().also { it.promptTokens = admitted.facts.prompt?.promptTokens }
 
     /** Endpoints that are not tried again. */
     val tried = LinkedHashSet<EndpointId>()
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -40,7 +40,7 @@
         while (true) {
             val plan = choice.choose(run) ?: return last
             val expected = plan.expectedMilliseconds.milliseconds
-            if (run.trace.expectedMilliseconds == null) run.trace.expectedMilliseconds = plan.expectedMilliseconds
+            if (run.trace.plan == null) run.trace.plan = plan
             val patience = run.firstOutputTimeLeft()
             if (!progress.hasOutput && expected > patience) {
                 if (run.mayHaveRun) return last
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.withContext
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import org.nutmegspring.gateway.duties.RoleOrderer
 import org.nutmegspring.gateway.duties.UsageReporter
 import org.nutmegspring.gateway.endpoints.EndpointTable
 import org.nutmegspring.gateway.forwarding.Admission
@@ -63,6 +64,7 @@
 import org.nutmegspring.placement.PromptPart
 import org.nutmegspring.placement.ServicePlacement
 import org.nutmegspring.platform.ObjectKey
+import org.nutmegspring.roles.StageBalance
 import org.nutmegspring.time.SuspensionAwareClock
 import org.nutmegspring.time.systemMonotonicClock
 import org.nutmegspring.usage.WindowCounts
@@ -147,6 +149,9 @@
         if (settings.bounds.usageWindowSeconds > 0 && settings.platform.duties.isNotEmpty()) {
             scope.launch { lease.run() }
             scope.launch { usageReporter().run() }
+            scope.launch {
+                RoleOrderer(self, ::heldLease, endpoints, platform.duties, StageBalance(), clock, log).run()
+            }
         }
     }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
@@ -7,6 +7,7 @@
 import org.nutmegspring.identity.FencingNumber
 import org.nutmegspring.identity.OrganisationId
 import org.nutmegspring.identity.RequestId
+import org.nutmegspring.placement.EnginePlan
 import kotlin.time.Duration
 
 /** How a request ended. */
@@ -60,12 +61,23 @@
             "status" to status,
             "reason" to reason,
             "endpoints" to trace.endpoints.joinToString(",") { it.value },
-            "expectedMilliseconds" to trace.expectedMilliseconds?.toLong(),
+            "plan" to trace.plan?.let(::nameOf),
+            "reader" to trace.plan?.reader?.id?.value,
+            "tokensAhead" to trace.plan?.reader?.tokensAhead,
+            "heldTokens" to trace.plan?.reader?.heldTokens,
+            "expectedMilliseconds" to trace.plan?.expectedMilliseconds?.toLong(),
+            "promptTokens" to trace.promptTokens,
+            "prefilledMilliseconds" to trace.prefilledMilliseconds,
             "firstOutputMilliseconds" to trace.firstOutputMilliseconds,
             "elapsedMilliseconds" to trace.elapsedMilliseconds,
             "configurationVersion" to beliefs.configurationVersion,
             "evidenceAgeMilliseconds" to beliefs.evidenceAge?.inWholeMilliseconds,
         )
+
+        private fun nameOf(plan: EnginePlan): String = when (plan) {
+            is EnginePlan.Direct -> "direct"
+            is EnginePlan.Handover -> "handover"
+        }
     }
 
     /** A request was not completed by an endpoint. */
@@ -194,8 +206,14 @@
     /** The endpoints to which it was sent, in order. */
     val endpoints = mutableListOf<EndpointId>()
 
-    /** The time to its first output that was expected, in milliseconds. */
-    var expectedMilliseconds: Double? = null
+    /** The first plan for it, null for a plain service. */
+    var plan: EnginePlan? = null
+
+    /** Tokens of its prompt, null when it does not tell them. */
+    var promptTokens: Int? = null
+
+    /** When the prompt was read by an engine that hands it over, in milliseconds since it was taken up. */
+    var prefilledMilliseconds: Long? = null
 
     /** The time to its first output, in milliseconds. */
     var firstOutputMilliseconds: Long? = null
