Read prompts beside generating only when they are small

Cause: 246 direct requests at three generating engines delayed a quarter of the hand-overs by 58 to 1,874 ms.

--- a/decisions/src/main/kotlin/org/nutmegspring/placement/EnginePlacement.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/placement/EnginePlacement.kt
@@ -86,10 +86,12 @@
     /** Returns the plan with the least cost for [work] from [from], or null when no engine can take it. */
     fun plan(work: PlacedWork, candidates: List<EngineCandidate>, from: DataCentreId): EnginePlan? {
         val usable = candidates.filter { it.requests < it.slots * FULL_SHARE }.ifEmpty { candidates }
-        val decoders = usable.filter { it.role != EngineRole.PREFILL }
-        val direct = decoders.minByOrNull { directCost(it, work, from) }
+        val generators = usable.filter { it.role != EngineRole.PREFILL }
         val reader = usable.filter { it.role == EngineRole.PREFILL }.minByOrNull { readCost(it, work) }
-        val target = reader?.let { prefill -> decoders.minByOrNull { fetchCost(it, prefill, work) } }
+        val direct = generators
+            .filter { reader == null || it.role == EngineRole.MIXED || unread(it, work) <= SMALL_PROMPT_TOKENS }
+            .minByOrNull { directCost(it, work, from) }
+        val target = reader?.let { source -> generators.minByOrNull { fetchCost(it, source, work) } }
         val handover = if (reader != null && target != null) {
             readCost(reader, work) + fetchCost(target, reader, work)
         } else {
@@ -130,8 +132,7 @@
 
     private fun directCost(engine: EngineCandidate, work: PlacedWork, from: DataCentreId): Double {
         val distance = if (engine.dataCentre == from) 0.0 else OTHER_DATA_CENTRE_MILLISECONDS
-        val delayed = DELAYED_OUTPUTS_WEIGHT * unread(engine, work) / speed(engine)
-        return readCost(engine, work) + engine.requests * REQUEST_MILLISECONDS + distance + delayed
+        return readCost(engine, work) + engine.requests * REQUEST_MILLISECONDS + distance
     }
 
     private fun fetchMilliseconds(target: EngineCandidate, source: EngineCandidate, work: PlacedWork): Double {
@@ -173,8 +174,8 @@
         /** Weighs the price of moving a gigabyte like 10 ms of delay. */
         const val MOVED_BYTE_MILLISECONDS = 1e-8
 
-        /** Weighs the time for which a prompt read beside generating delays the outputs of prompts read elsewhere. */
-        const val DELAYED_OUTPUTS_WEIGHT = 1.0
+        /** What is read beside generating delays the outputs of prompts read elsewhere; one piece does so by little. */
+        const val SMALL_PROMPT_TOKENS = 512
 
         /** The greatest handicap by rank; smaller than reading a usual shared part. */
         const val RANK_MILLISECONDS = 20.0
