Test the decisions and the connections of the gateway

Each decision has a spec that replays the load it answers; the connections are pinned against a server whose bytes the test decides (crossed, late, extra, short, unframed and reset answers; a body framed in two ways is refused).

--- a/decisions/src/main/kotlin/org/nutmegspring/placement/EngineLoad.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/placement/EngineLoad.kt
@@ -29,12 +29,8 @@
         requests = maxOf(0, requests - 1)
     }
 
-    /** Returns the tokens that the engine reads before a request of [urgency]. */
-    fun ahead(urgency: Int): Long {
-        var sum = 0L
-        for (level in waiting.indices) sum += waiting[level]
-        return sum
-    }
+    /** Returns the tokens that the engine reads before the next request. Engines read in the order of arrival. */
+    fun ahead(): Long = waiting.sum()
 
     /** Returns the tokens that wait, by urgency. */
     fun waiting(): List<Long> = waiting.toList()
--- /dev/null
+++ b/decisions/src/test/kotlin/org/nutmegspring/currency/ConfigurationEvidenceSpec.kt
@@ -0,0 +1,43 @@
+package org.nutmegspring.currency
+
+import org.junit.jupiter.api.Nested
+import org.nutmegspring.time.MonotonicTime
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+class ConfigurationEvidenceSpec {
+    private val evidence = ConfigurationEvidence()
+
+    private fun at(seconds: Int) = MonotonicTime.ZERO + seconds.seconds
+
+    @Nested
+    inner class `without any answer` {
+        @Test
+        fun `there is no proof`() {
+            assertNull(evidence.age(at(1)))
+            assertFalse(evidence.isYoungerThan(10.seconds, at(1)))
+        }
+    }
+
+    @Nested
+    inner class `after an answer` {
+        @Test
+        fun `the proof is as old as the beginning of the call`() {
+            evidence.proved(at(2))
+            assertEquals(3.seconds, evidence.age(at(5)))
+            assertTrue(evidence.isYoungerThan(4.seconds, at(5)))
+            assertFalse(evidence.isYoungerThan(3.seconds, at(5)))
+        }
+
+        @Test
+        fun `a call that began earlier makes it no older`() {
+            evidence.proved(at(4))
+            evidence.proved(at(2))
+            assertEquals(1.seconds, evidence.age(at(5)))
+        }
+    }
+}
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
@@ -69,12 +69,12 @@
     /** Returns the requests of all instances at the endpoint. */
     fun requests(now: MonotonicTime): Int = own.requests + freshPeers(now).sumOf { it.requests }
 
-    /** Returns this endpoint as a candidate for a request of [urgency] whose prompt is [chain]. */
-    fun asEngine(chain: List<PromptPart>, urgency: Int, now: MonotonicTime): EngineCandidate = EngineCandidate(
+    /** Returns this endpoint as a candidate for a request whose prompt is [chain]. */
+    fun asEngine(chain: List<PromptPart>, now: MonotonicTime): EngineCandidate = EngineCandidate(
         id = endpoint.id,
         role = endpoint.role ?: EngineRole.MIXED,
         dataCentre = endpoint.dataCentre,
-        tokensAhead = own.ahead(urgency) + freshPeers(now).sumOf { it.ahead(urgency) },
+        tokensAhead = own.ahead() + freshPeers(now).sumOf { it.ahead() },
         heldTokens = belief.heldTokens(chain),
         requests = requests(now),
         slots = endpoint.slots,
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
@@ -34,7 +34,7 @@
         val prompt = run.admitted.facts.prompt
         val chain = prompt?.chain.orEmpty()
         val candidates = endpoints.usable(run.admitted.service, now, run.tried)
-            .map { it.asEngine(chain, run.admitted.urgency, now) }
+            .map { it.asEngine(chain, now) }
         return placement(run).plan(work(prompt), candidates, dataCentre)
     }
 
@@ -138,7 +138,7 @@
 
     private fun unread(run: RequestRun, engine: EndpointState): Long {
         val prompt = run.admitted.facts.prompt ?: return 0
-        val held = engine.asEngine(prompt.chain, run.admitted.urgency, clock.now()).heldTokens
+        val held = engine.asEngine(prompt.chain, clock.now()).heldTokens
         return (prompt.promptTokens - held).coerceAtLeast(0).toLong()
     }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/ServiceForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/ServiceForwarder.kt
@@ -141,7 +141,8 @@
     /** How long one endpoint is waited for: less than all while another may still answer in time. */
     private fun patience(run: RequestRun): Duration {
         val left = run.timeLeft()
-        val canMove = run.admitted.route.kind.isRepeatable && run.trace.endpoints.size < run.admitted.route.maximumAttempts
+        val canMove =
+            run.admitted.route.kind.isRepeatable && run.trace.endpoints.size < run.admitted.route.maximumAttempts
         return if (canMove) minOf(left, run.admitted.route.objective * MOVE_ON_SHARE) else left
     }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -101,7 +101,9 @@
             val part = within(waitFor(run, ticket)) { started.answer.next() }
                 ?: return failed(run, prepared, run.timedOut(prepared.engine.endpoint.address))
             when (part) {
-                is AnswerPart.Body -> events.add(part.bytes).forEach { pass(run, progress, started.head, it, ticket) }
+                is AnswerPart.Body -> {
+                    events.add(part.bytes).forEach { pass(run, progress, started.head, it, ticket) }
+                }
 
                 is AnswerPart.End -> {
                     if (events.hasPartialEvent) passRest(run, progress, started.head, events.rest())
@@ -111,9 +113,13 @@
                     return null
                 }
 
-                is AnswerPart.Broken -> return failed(run, prepared, broken(prepared, part.reason))
+                is AnswerPart.Broken -> {
+                    return failed(run, prepared, broken(prepared, part.reason))
+                }
 
-                is AnswerPart.Head -> return failed(run, prepared, broken(prepared, "a second head in one answer"))
+                is AnswerPart.Head -> {
+                    return failed(run, prepared, broken(prepared, "a second head in one answer"))
+                }
             }
         }
     }
@@ -160,8 +166,14 @@
         while (true) {
             when (val part = within(run.timeLeft()) { started.answer.next() }) {
                 is AnswerPart.Body -> body.add(part.bytes)
+
                 is AnswerPart.End -> break
-                else -> return failed(run, prepared, broken(prepared, "an answer of status ${started.head.status} broke off"))
+
+                else -> return failed(
+                    run,
+                    prepared,
+                    broken(prepared, "an answer of status ${started.head.status} broke off"),
+                )
             }
         }
         val isPromise = started.head.status in PROMISING_STATUSES
@@ -175,7 +187,8 @@
     /** How long the next part is waited for: less before the first output, so that another engine can be tried. */
     private fun waitFor(run: RequestRun, ticket: EngineTicket): Duration {
         val left = run.timeLeft()
-        val canMove = run.admitted.route.kind.isRepeatable && run.trace.endpoints.size < run.admitted.route.maximumAttempts
+        val canMove =
+            run.admitted.route.kind.isRepeatable && run.trace.endpoints.size < run.admitted.route.maximumAttempts
         return if (canMove && !ticket.hasOutput) minOf(left, ticket.patience()) else left
     }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
@@ -203,7 +203,10 @@
         isClosing = true
         head = null
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        response.headers().set(
+            HttpHeaderNames.CONTENT_LENGTH,
+            0,
+        ).set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         val job = running
         if (job == null) {
             channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
@@ -100,9 +100,13 @@
         val answer = parts
         val status = response.status().code()
         when {
-            answer == null || ended -> fail("bytes without a request")
+            answer == null || ended -> {
+                fail("bytes without a request")
+            }
 
-            status < FIRST_FINAL_STATUS -> skipping = true
+            status < FIRST_FINAL_STATUS -> {
+                skipping = true
+            }
 
             !accepts(response.headers()) -> {
                 skipping = true
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnections.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnections.kt
@@ -99,9 +99,13 @@
         val body = ByteArrayOutputStream()
         while (true) {
             when (val part = answer.next()) {
-                is AnswerPart.Head -> head = part
+                is AnswerPart.Head -> {
+                    head = part
+                }
 
-                is AnswerPart.Body -> body.write(part.bytes)
+                is AnswerPart.Body -> {
+                    body.write(part.bytes)
+                }
 
                 is AnswerPart.End -> {
                     val complete = checkNotNull(head) { "an answer of $address ended before its head" }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -119,7 +119,9 @@
         self = LeaseHolder(self, incarnation),
         store = platform.store,
         clock = clock,
-        rules = LeaseRules(LeaseTiming(duration = initial.bounds.leaseMilliseconds.milliseconds, renewEvery = RENEW_EVERY)),
+        rules = LeaseRules(
+            LeaseTiming(duration = initial.bounds.leaseMilliseconds.milliseconds, renewEvery = RENEW_EVERY),
+        ),
         wish = ::dutyWish,
         // A lease that ran out leaves time between the calls of two holders; one given up would not.
         mayRelease = { false },
@@ -134,7 +136,11 @@
         listen(settings.addresses.callers, limits, gatewayHandler())
         listen(settings.addresses.readiness, PlainServerLimits, readinessHandler(platform.dialect, ::isReady))
         val keepSeconds = { minOf(ADDRESS_KEEP_SECONDS, settings.bounds.addressKeepSeconds) }
-        listen(settings.addresses.directory, PlainServerLimits, directoryHandler(platform.dialect, keepSeconds, ::addresses))
+        listen(
+            settings.addresses.directory,
+            PlainServerLimits,
+            directoryHandler(platform.dialect, keepSeconds, ::addresses),
+        )
         listen(settings.addresses.metrics, PlainServerLimits, metricsHandler(metrics::scrape))
         registerGauges()
         val exchange = PeerExchange(loop, settings.addresses.exchange, ::hear) {
@@ -192,7 +198,17 @@
             ServiceForwarder(endpoints, sender, ServicePlacement(random), retries, usage, dataCentre, clock)
         val streams = StreamForwarder(choice, sender, retries, usage, clock)
         return GatewayHandler(
-            platform.dialect, admission, current, quotas, retries, services, streams, clock, log, metrics, random,
+            platform.dialect,
+            admission,
+            current,
+            quotas,
+            retries,
+            services,
+            streams,
+            clock,
+            log,
+            metrics,
+            random,
         )
     }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayState.kt
@@ -22,7 +22,9 @@
     private val feed: String,
     private val log: DecisionLog,
 ) : FeedListener<T> {
-    override fun lost(failure: StoreFailure) = log.record(DecisionEvent.DependencyLost("store: $feed", failure.toString()))
+    override fun lost(
+        failure: StoreFailure,
+    ) = log.record(DecisionEvent.DependencyLost("store: $feed", failure.toString()))
 
     override fun regained() = log.record(DecisionEvent.DependencyRegained("store: $feed"))
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/GatewayMetrics.kt
@@ -25,9 +25,12 @@
         requests.getOrPut(RequestKey(kind, outcome, status)) {
             registry.counter(
                 "gateway_requests_total",
-                "kind", kind,
-                "outcome", outcome.name.lowercase(),
-                "status", status.toString(),
+                "kind",
+                kind,
+                "outcome",
+                outcome.name.lowercase(),
+                "status",
+                status.toString(),
             )
         }.increment()
         attempts.increment(trace.endpoints.size.toDouble())
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/store/FeedFollower.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/store/FeedFollower.kt
@@ -70,16 +70,18 @@
     private suspend fun changes(position: Long): Long? {
         val began = clock.now()
         return when (val waited = feed.changes(position, wait)) {
-            is Either.Right -> when (val changes = waited.value) {
-                is FeedChanges.Events -> {
-                    answered()
-                    listener.changed(changes.events, began, regainedAt)
-                    changes.position
-                }
-
-                FeedChanges.HistoryGone -> {
-                    answered()
-                    null
+            is Either.Right -> {
+                when (val changes = waited.value) {
+                    is FeedChanges.Events -> {
+                        answered()
+                        listener.changed(changes.events, began, regainedAt)
+                        changes.position
+                    }
+
+                    FeedChanges.HistoryGone -> {
+                        answered()
+                        null
+                    }
                 }
             }
 
--- /dev/null
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/endpoints/EndpointTableSpec.kt
@@ -0,0 +1,123 @@
+package org.nutmegspring.gateway.endpoints
+
+import org.junit.jupiter.api.Nested
+import org.nutmegspring.gateway.TestClock
+import org.nutmegspring.gateway.desk
+import org.nutmegspring.gateway.endpointOf
+import org.nutmegspring.gateway.store.FeedEntry
+import org.nutmegspring.gateway.store.FeedEvent
+import org.nutmegspring.gateway.store.Listing
+import org.nutmegspring.identity.EndpointId
+import org.nutmegspring.placement.promptChain
+import org.nutmegspring.platform.ListedState
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+class EndpointTableSpec {
+    private val clock = TestClock()
+    private val changes = mutableListOf<Pair<String, EndpointChange>>()
+    private val table = EndpointTable({ 1_000 }) { endpoint, change -> changes += endpoint.id.value to change }
+
+    private fun listing(vararg endpoints: ServingEndpoint) =
+        Listing(endpoints.map { FeedEntry(it.id.value, it) }, position = 1)
+
+    private fun usable() = table.usable(desk, clock.now()).map { it.endpoint.id.value }
+
+    private fun changed(endpoint: ServingEndpoint) =
+        table.apply(FeedEvent.Changed(FeedEntry(endpoint.id.value, endpoint)), null, clock.now())
+
+    @Nested
+    inner class `when the store lists endpoints` {
+        @Test
+        fun `those that are about to leave get no work`() {
+            table.replace(listing(endpointOf("a"), endpointOf("b", ListedState.DEPARTING)), null, clock.now())
+            assertEquals(listOf("a"), usable())
+            changed(endpointOf("a", ListedState.DEPARTING))
+            assertEquals(emptyList(), usable())
+            assertEquals("a" to EndpointChange.DEPARTING, changes.last())
+        }
+
+        @Test
+        fun `one whose entry is gone gets no work from then on`() {
+            table.replace(listing(endpointOf("a"), endpointOf("b")), null, clock.now())
+            table.apply(FeedEvent.Removed("a"), null, clock.now())
+            assertEquals(listOf("b"), usable())
+        }
+
+        @Test
+        fun `an entry that can't be read takes none away`() {
+            table.replace(listing(endpointOf("a")), null, clock.now())
+            table.apply(FeedEvent.Changed(FeedEntry("a", null)), null, clock.now())
+            table.replace(Listing(listOf(FeedEntry("a", null)), 2), null, clock.now())
+            assertEquals(listOf("a"), usable())
+        }
+    }
+
+    @Nested
+    inner class `after an outage of the store` {
+        @Test
+        fun `an endpoint that is missing is used for about two seconds, and dropped unless it is listed again`() {
+            table.replace(listing(endpointOf("a"), endpointOf("b")), null, clock.now())
+            clock.pass(10.seconds)
+            val regainedAt = clock.now()
+            table.replace(listing(), regainedAt, clock.now())
+            assertEquals(listOf("a", "b"), usable())
+            clock.pass(1.seconds)
+            changed(endpointOf("b"))
+            clock.pass(1.seconds)
+            table.dropLapsed(clock.now())
+            assertEquals(listOf("b"), usable())
+            assertTrue("a" to EndpointChange.GONE in changes)
+        }
+
+        @Test
+        fun `a removal that is told later counts at once`() {
+            table.replace(listing(endpointOf("a")), null, clock.now())
+            val regainedAt = clock.now()
+            clock.pass(3.seconds)
+            table.apply(FeedEvent.Removed("a"), regainedAt, clock.now())
+            assertEquals(emptyList(), usable())
+        }
+    }
+
+    @Nested
+    inner class `when an endpoint fails again and again` {
+        @Test
+        fun `it is left out while there are others, and used when there are none`() {
+            table.replace(listing(endpointOf("a"), endpointOf("b")), null, clock.now())
+            val failing = checkNotNull(table.state(EndpointId("a")))
+            repeat(2) { failing.health.failed(clock.now()) }
+            assertEquals(listOf("b"), usable())
+            table.apply(FeedEvent.Removed("b"), null, clock.now())
+            assertEquals(listOf("a"), usable())
+        }
+    }
+
+    @Nested
+    inner class `when another endpoint answers at the address` {
+        @Test
+        fun `the entry is not used until it changes`() {
+            table.replace(listing(endpointOf("a")), null, clock.now())
+            checkNotNull(table.state(EndpointId("a"))).isMisdirected = true
+            assertEquals(emptyList(), usable())
+            changed(endpointOf("a", bornAt = 2))
+            assertEquals(listOf("a"), usable())
+        }
+    }
+
+    @Nested
+    inner class `when an endpoint starts anew under its id` {
+        @Test
+        fun `it is believed to hold nothing`() {
+            val chain = promptChain("m", listOf(1L), listOf(500))
+            table.replace(listing(endpointOf("a")), null, clock.now())
+            val state = checkNotNull(table.state(EndpointId("a")))
+            state.reads(chain)
+            assertEquals(500, state.asEngine(chain, clock.now()).heldTokens)
+            changed(endpointOf("a", bornAt = 2))
+            assertEquals(0, state.asEngine(chain, clock.now()).heldTokens)
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/http/EndpointConnectionsSpec.kt
@@ -0,0 +1,189 @@
+package org.nutmegspring.gateway.http
+
+import arrow.core.Either
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import org.nutmegspring.failure.Effect
+import org.nutmegspring.failure.Failure
+import org.nutmegspring.time.systemMonotonicClock
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+class EndpointConnectionsSpec {
+    private val loop = EventLoop()
+    private val connections = EndpointConnections(loop, systemMonotonicClock(), 2.seconds)
+
+    @AfterEach
+    fun closeLoop() = loop.close()
+
+    private fun call(id: String) = HttpCall("GET", "/x").also { it.headers.set("Host", "h").set("Request", id) }
+
+    private fun exchange(server: ScriptedServer, id: String = "1"): Either<Failure, HttpAnswer> = runBlocking {
+        withContext(loop.dispatcher) { connections.exchange(server.address, call(id), 5.seconds) }
+    }
+
+    /** Exchanges [id] and takes only an answer that echoes it. */
+    private fun matched(server: ScriptedServer, id: String): AnswerPart.Head = runBlocking {
+        withContext(loop.dispatcher) {
+            val opened = connections.open(server.address, call(id)) { it.get("Request") == id }
+            val answer = checkNotNull(opened.getOrNull())
+            val head = assertIs<AnswerPart.Head>(answer.next())
+            while (answer.next() !is AnswerPart.End) Unit
+            answer.close()
+            head
+        }
+    }
+
+    private fun Socket.answerRequest(answer: String) {
+        getInputStream().readHead()
+        getOutputStream().writeHttp(answer)
+    }
+
+    private fun whole(body: String, more: String = "") = "HTTP/1.1 200 OK\n${more}Content-Length: ${body.length}\n\n$body"
+
+    @Nested
+    inner class `given an endpoint that keeps connections` {
+        @Test
+        fun `one connection carries several requests`() {
+            ScriptedServer { _, socket -> repeat(3) { socket.answerRequest(whole("ok", "Keep-Alive: timeout=10\n")) } }.use {
+                repeat(3) { _ -> assertEquals("ok", exchange(it).getOrNull()?.body?.decodeToString()) }
+                assertEquals(1, it.connections)
+            }
+        }
+
+        @Test
+        fun `an answer with 'Connection close' ends its use`() {
+            ScriptedServer { _, socket -> socket.answerRequest(whole("ok", "Connection: close\n")) }.use {
+                repeat(2) { _ -> assertTrue(exchange(it).isRight()) }
+                assertEquals(2, it.connections)
+            }
+        }
+    }
+
+    @Nested
+    inner class `given answers that belong to nobody` {
+        @Test
+        fun `a late answer to an earlier request is dropped, and the awaited one is delivered`() {
+            val server = ScriptedServer { _, socket ->
+                socket.getInputStream().readHead()
+                socket.getOutputStream().writeHttp(whole("old", "Request: 0\n") + whole("new", "Request: 1\n"))
+            }
+            server.use { assertEquals("1", matched(it, "1").headers.get("Request")) }
+        }
+
+        @Test
+        fun `a connection with bytes behind a complete answer is not used again`() {
+            val server = ScriptedServer { _, socket ->
+                socket.answerRequest(whole("ok", "Keep-Alive: timeout=10\n") + whole("extra"))
+                socket.getInputStream().readHead()
+            }
+            server.use {
+                repeat(2) { _ -> assertEquals("ok", exchange(it).getOrNull()?.body?.decodeToString()) }
+                assertEquals(2, it.connections)
+            }
+        }
+    }
+
+    @Nested
+    inner class `given answers that break off` {
+        private fun failure(script: (Socket) -> Unit): Failure =
+            ScriptedServer { _, socket -> script(socket) }.use { checkNotNull(exchange(it).leftOrNull()) }
+
+        @Test
+        fun `a body shorter than its length is a failure of unknown effect`() {
+            val failure = failure {
+                it.answerRequest("HTTP/1.1 200 OK\nContent-Length: 10\n\nshort")
+                it.close()
+            }
+            assertEquals(Effect.UNKNOWN, failure.effect)
+        }
+
+        @Test
+        fun `chunks without the last one are a failure`() {
+            val failure = failure {
+                it.answerRequest("HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n3\nabc\n")
+                it.close()
+            }
+            assertEquals(Effect.UNKNOWN, failure.effect)
+        }
+
+        @Test
+        fun `bytes that are no answer are a failure`() {
+            assertEquals(Effect.UNKNOWN, failure { it.answerRequest("garbage garbage garbage\n\n") }.effect)
+        }
+
+        @Test
+        fun `a connection that is closed without an answer is a failure of unknown effect`() {
+            val failure = failure {
+                it.getInputStream().readHead()
+                it.close()
+            }
+            assertEquals(Effect.UNKNOWN, failure.effect)
+        }
+    }
+
+    @Nested
+    inner class `given an answer without a length` {
+        @Test
+        fun `it is complete when the endpoint closes the connection`() {
+            val server = ScriptedServer { _, socket ->
+                socket.answerRequest("HTTP/1.1 200 OK\n\nall of it")
+                socket.close()
+            }
+            server.use { assertEquals("all of it", exchange(it).getOrNull()?.body?.decodeToString()) }
+        }
+
+        @Test
+        fun `it is not complete when the connection is reset`() {
+            val server = ScriptedServer { _, socket ->
+                socket.answerRequest("HTTP/1.1 200 OK\n\npart of it")
+                socket.setSoLinger(true, 0)
+                socket.close()
+            }
+            server.use { assertTrue(exchange(it).isLeft()) }
+        }
+    }
+
+    @Nested
+    inner class `when nothing was sent` {
+        @Test
+        fun `the failure says that the request did not run`() {
+            val unused = ServerSocket(0).use { it.localPort }
+            val failed = runBlocking {
+                withContext(loop.dispatcher) { connections.exchange("127.0.0.1:$unused", call("1"), 5.seconds) }
+            }
+            assertEquals(Effect.NOT_RUN, failed.leftOrNull()?.effect)
+        }
+    }
+
+    @Nested
+    inner class `when the answer is no longer wanted` {
+        @Test
+        fun `the endpoint sees the connection close`() {
+            val closed = CountDownLatch(1)
+            val server = ScriptedServer { _, socket ->
+                socket.answerRequest("HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n3\nabc\n")
+                if (socket.getInputStream().read() < 0) closed.countDown()
+            }
+            server.use {
+                runBlocking {
+                    withContext(loop.dispatcher) {
+                        val answer = checkNotNull(connections.open(it.address, call("1")).getOrNull())
+                        assertIs<AnswerPart.Head>(answer.next())
+                        answer.close()
+                    }
+                }
+                assertTrue(closed.await(10, TimeUnit.SECONDS))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/http/HttpServerSpec.kt
@@ -0,0 +1,138 @@
+package org.nutmegspring.gateway.http
+
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import java.net.Socket
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+class HttpServerSpec {
+    private val loop = EventLoop()
+    private val scope = CoroutineScope(loop.dispatcher + SupervisorJob())
+    private val stopping = object : ServerLimits {
+        override val bodyBytes: Int = 100
+        override val requestTimeout: Duration = 30.seconds
+        override val idleTimeout: Duration = 30.seconds
+        override var isStopping: Boolean = false
+    }
+
+    @AfterEach
+    fun closeLoop() {
+        scope.cancel()
+        loop.close()
+    }
+
+    private fun serve(handler: RequestHandler) = startHttpServer(loop, scope, "127.0.0.1:0", stopping, 2_000, handler)
+
+    private val echo = RequestHandler { exchange ->
+        exchange.respond(200, DefaultHttpHeaders(), "${exchange.call.target} ${exchange.call.body.size}".encodeToByteArray())
+    }
+
+    /** Sends [text] and returns all that comes until the server closes. */
+    private fun talk(server: HttpServer, text: String): String = Socket("127.0.0.1", server.port).use {
+        it.soTimeout = 20_000
+        it.getOutputStream().writeHttp(text)
+        it.getInputStream().readBytes().decodeToString()
+    }
+
+    private fun statuses(answer: String) = Regex("HTTP/1.1 (\\d+)").findAll(answer).map { it.groupValues[1] }.toList()
+
+    @Nested
+    inner class `given proper requests` {
+        @Test
+        fun `several on one connection are answered in their order`() {
+            val answer = talk(serve(echo), "GET /1 HTTP/1.1\nHost: h\n\nGET /2 HTTP/1.1\nHost: h\nConnection: close\n\n")
+            assertEquals(listOf("200", "200"), statuses(answer))
+            assertTrue(answer.indexOf("/1 0") < answer.indexOf("/2 0"))
+        }
+
+        @Test
+        fun `a body in chunks is read whole`() {
+            val request = "POST /c HTTP/1.1\nHost: h\nConnection: close\nTransfer-Encoding: chunked\n\n3\nabc\n2\nde\n0\n\n"
+            assertTrue("/c 5" in talk(serve(echo), request))
+        }
+    }
+
+    @Nested
+    inner class `given hostile requests` {
+        @Test
+        fun `a body framed by a length and by chunks is refused, and what follows is not read as a request`() {
+            val request = "POST /a HTTP/1.1\nHost: h\nContent-Length: 5\nTransfer-Encoding: chunked\n\n0\n\n" +
+                "GET /smuggled HTTP/1.1\nHost: h\n\n"
+            val answer = talk(serve(echo), request)
+            assertEquals(listOf("400"), statuses(answer))
+            assertFalse("/smuggled" in answer)
+        }
+
+        @Test
+        fun `a head that is too large is refused`() {
+            assertEquals(listOf("431"), statuses(talk(serve(echo), "GET / HTTP/1.1\nHost: h\nX: ${"x".repeat(4_000)}\n\n")))
+        }
+
+        @Test
+        fun `a body that is too large is refused`() {
+            assertEquals(listOf("413"), statuses(talk(serve(echo), "POST / HTTP/1.1\nHost: h\nContent-Length: 101\n\n")))
+        }
+
+        @Test
+        fun `bytes that are no request are refused`() {
+            assertEquals(listOf("400"), statuses(talk(serve(echo), "this is not http at all\n\n")))
+        }
+    }
+
+    @Nested
+    inner class `when a caller leaves while its request runs` {
+        @Test
+        fun `the work on it is cancelled`() {
+            val begun = CountDownLatch(1)
+            val cancelled = CountDownLatch(1)
+            val server = serve {
+                begun.countDown()
+                try {
+                    CompletableDeferred<Unit>().await()
+                } finally {
+                    cancelled.countDown()
+                }
+            }
+            Socket("127.0.0.1", server.port).use {
+                it.getOutputStream().writeHttp("GET / HTTP/1.1\nHost: h\n\n")
+                assertTrue(begun.await(20, TimeUnit.SECONDS))
+            }
+            assertTrue(cancelled.await(20, TimeUnit.SECONDS))
+        }
+    }
+
+    @Nested
+    inner class `when an answer breaks off after its start` {
+        @Test
+        fun `it does not look complete`() {
+            val server = serve {
+                it.start(200, DefaultHttpHeaders())
+                it.send("part".encodeToByteArray())
+                it.abort()
+            }
+            val answer = talk(server, "GET / HTTP/1.1\nHost: h\n\n")
+            assertFalse(answer.endsWith("0\r\n\r\n"), answer)
+        }
+    }
+
+    @Nested
+    inner class `while the process stops` {
+        @Test
+        fun `each answer asks the caller to close the connection`() {
+            stopping.isStopping = true
+            assertTrue("connection: close" in talk(serve(echo), "GET / HTTP/1.1\nHost: h\n\n").lowercase())
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/store/FeedFollowerSpec.kt
@@ -0,0 +1,106 @@
+package org.nutmegspring.gateway.store
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.runCurrent
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Nested
+import org.nutmegspring.failure.Effect
+import org.nutmegspring.failure.Failure
+import org.nutmegspring.failure.Peer
+import org.nutmegspring.failure.Step
+import org.nutmegspring.platform.StoreFailure
+import org.nutmegspring.time.MonotonicTime
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+@OptIn(ExperimentalCoroutinesApi::class)
+class FeedFollowerSpec {
+    private val down = StoreFailure.Unanswered(Failure(Step.READ_OBJECT, Peer.PLATFORM, Effect.UNKNOWN, "silent"))
+
+    /** Answers what the test sets, and records the calls. */
+    private inner class ScriptedFeed : StoreFeed<String> {
+        val calls = mutableListOf<String>()
+        var isDown = false
+        val answers = ArrayDeque<FeedChanges<String>>()
+
+        override suspend fun list(timeout: Duration): Either<StoreFailure, Listing<String>> {
+            calls += "list"
+            return if (isDown) down.left() else Listing(listOf(FeedEntry("a", "1")), 10).right()
+        }
+
+        override suspend fun changes(position: Long, wait: Duration): Either<StoreFailure, FeedChanges<String>> {
+            calls += "changes after $position"
+            if (isDown) return down.left()
+            return answers.removeFirstOrNull()?.right() ?: CompletableDeferred<Nothing>().await()
+        }
+    }
+
+    private class Recorder : FeedListener<String> {
+        val heard = mutableListOf<String>()
+
+        override fun listed(listing: Listing<String>, began: MonotonicTime, regainedAt: MonotonicTime?) {
+            heard += "listed"
+        }
+
+        override fun changed(events: List<FeedEvent<String>>, began: MonotonicTime, regainedAt: MonotonicTime?) {
+            heard += "changed ${events.size}"
+        }
+
+        override fun lost(failure: StoreFailure) {
+            heard += "lost"
+        }
+
+        override fun regained() {
+            heard += "regained"
+        }
+    }
+
+    @Nested
+    inner class `while the store answers` {
+        @Test
+        fun `changes are followed from the last position`() = runTest {
+            val feed = ScriptedFeed()
+            val recorder = Recorder()
+            feed.answers += FeedChanges.Events(listOf(FeedEvent.Removed("a")), 12)
+            backgroundScope.launch { FeedFollower(feed, recorder, { MonotonicTime.ZERO }, 1.seconds, Random(1)).run() }
+            runCurrent()
+            assertEquals(listOf("list", "changes after 10", "changes after 12"), feed.calls)
+            assertEquals(listOf("listed", "changed 1"), recorder.heard)
+        }
+
+        @Test
+        fun `a history that is gone is followed by a new list`() = runTest {
+            val feed = ScriptedFeed()
+            feed.answers += FeedChanges.HistoryGone
+            backgroundScope.launch { FeedFollower(feed, Recorder(), { MonotonicTime.ZERO }, 1.seconds, Random(1)).run() }
+            runCurrent()
+            assertEquals(listOf("list", "changes after 10", "list", "changes after 10"), feed.calls)
+        }
+    }
+
+    @Nested
+    inner class `while the store is down` {
+        @Test
+        fun `calls become rare, the loss is told once, and its end is noticed within half a second`() = runTest {
+            val feed = ScriptedFeed().apply { isDown = true }
+            val recorder = Recorder()
+            backgroundScope.launch { FeedFollower(feed, recorder, { MonotonicTime.ZERO }, 1.seconds, Random(1)).run() }
+            testScheduler.advanceTimeBy(10.seconds)
+            assertTrue(feed.calls.size < 60, "${feed.calls.size} calls in 10 s")
+            assertEquals(listOf("lost"), recorder.heard)
+            feed.isDown = false
+            testScheduler.advanceTimeBy(500.milliseconds)
+            assertEquals(listOf("lost", "regained", "listed"), recorder.heard)
+        }
+    }
+}
--- a/node/src/test/kotlin/org/nutmegspring/node/control/EngineOrdererSpec.kt
+++ b/node/src/test/kotlin/org/nutmegspring/node/control/EngineOrdererSpec.kt
@@ -15,10 +15,10 @@
 import org.nutmegspring.lease.LeaseTiming
 import org.nutmegspring.order.EngineOrderRules
 import org.nutmegspring.order.orderKey
-import org.nutmegspring.storeclient.httpPlatform
 import org.nutmegspring.standin.engine.EngineStandIn
 import org.nutmegspring.standin.engine.EngineStandInSettings
 import org.nutmegspring.standin.platform.PlatformStandIn
+import org.nutmegspring.storeclient.httpPlatform
 import org.nutmegspring.time.systemMonotonicClock
 import kotlin.test.Test
 import kotlin.test.assertContains
--- a/node/src/test/kotlin/org/nutmegspring/node/control/UsageRuntimeSpec.kt
+++ b/node/src/test/kotlin/org/nutmegspring/node/control/UsageRuntimeSpec.kt
@@ -21,12 +21,12 @@
 import org.nutmegspring.membership.MemberState
 import org.nutmegspring.node.TestFleet
 import org.nutmegspring.node.membership.Membership
-import org.nutmegspring.storeclient.httpPlatform
 import org.nutmegspring.protocol.InnerHandler
 import org.nutmegspring.protocol.InnerNetwork
 import org.nutmegspring.protocol.InnerReply
 import org.nutmegspring.protocol.InnerRequest
 import org.nutmegspring.standin.platform.PlatformStandIn
+import org.nutmegspring.storeclient.httpPlatform
 import org.nutmegspring.time.systemMonotonicClock
 import kotlin.test.Test
 import kotlin.test.assertEquals
