Count an engine that was ordered to change as changed

Cause: an engine under order was left out of the balance, so one missing generator made the holder order another engine every half second until nearly all generated. RoleOrdererSpec failed first (9 orders for 1).

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/RoleOrderer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/RoleOrderer.kt
@@ -31,7 +31,9 @@
     private val clock: MonotonicClock,
     private val log: DecisionLog,
 ) {
-    private val ordered = HashMap<EndpointId, MonotonicTime>()
+    private class Pending(val role: EngineRole, val since: MonotonicTime)
+
+    private val ordered = HashMap<EndpointId, Pending>()
     private var listedIds: Set<EndpointId> = emptySet()
     private var listedSince = clock.now()
 
@@ -47,8 +49,8 @@
         val engines = ofService.filter { it.endpoint.role != null && it.endpoint.state == ListedState.LIVE }
         if (engines.isEmpty() || !isSettled(engines)) return
         val now = clock.now()
-        ordered.values.removeIf { now - it > ORDER_LIFETIME }
-        val changes = balance.changes(engines.filter { it.endpoint.id !in ordered }.mapNotNull(::balanced))
+        ordered.values.removeIf { now - it.since > ORDER_LIFETIME }
+        val changes = balance.changes(engines.mapNotNull(::balanced)).filter { it.engine !in ordered }
         changes.forEach { change -> endpoints.state(change.engine)?.let { send(it, change) } }
     }
 
@@ -62,14 +64,17 @@
         return clock.now() - listedSince >= SETTLING
     }
 
-    private fun balanced(state: EndpointState): BalancedEngine? = state.endpoint.role?.let { role ->
-        BalancedEngine(state.endpoint.id, role, state.endpoint.dataCentre)
+    /** An engine that is about to change counts as changed. */
+    private fun balanced(state: EndpointState): BalancedEngine? {
+        val endpoint = state.endpoint
+        val role = ordered[endpoint.id]?.role ?: endpoint.role ?: return null
+        return BalancedEngine(endpoint.id, role, endpoint.dataCentre)
     }
 
     private suspend fun send(engine: EndpointState, change: RoleChange) {
         val lease = held() ?: return
         if (!lease.covers(clock.now(), CALL_TIMEOUT)) return
-        ordered[engine.endpoint.id] = clock.now()
+        ordered[engine.endpoint.id] = Pending(change.role, clock.now())
         val sent = duties.orderRole(engine.endpoint, change.role, DutyHolder(self, lease.fencing), CALL_TIMEOUT)
         val outcome = when (sent) {
             is Either.Left -> sent.value.toString()
