--- a/decisions/src/main/kotlin/org/nutmegspring/placement/EnginePlacement.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/placement/EnginePlacement.kt
@@ -51,10 +51,9 @@
         override val expectedMilliseconds: Double,
     ) : EnginePlan
 
-    /** [reader] reads the prompt, and [generator] fetches what was read and generates. */
+    /** [reader] reads the prompt, and another engine fetches what was read and generates. */
     data class Handover(
         override val reader: EngineCandidate,
-        val generator: EndpointId,
         override val expectedMilliseconds: Double,
     ) : EnginePlan
 }
@@ -104,7 +103,7 @@
 
             reader != null && target != null -> {
                 val expected = readMilliseconds(reader, work) + fetchMilliseconds(target, reader, work)
-                EnginePlan.Handover(reader, target.id, expected + FIRST_STEP_MILLISECONDS)
+                EnginePlan.Handover(reader, expected + FIRST_STEP_MILLISECONDS)
             }
 
             else -> {
@@ -113,6 +112,13 @@
         }
     }
 
+    /**
+     * Returns the engine that generates from what [reader] has read, or null when there is none. It is chosen when the
+     * prompt is read: reading may take long, and engines leave meanwhile.
+     */
+    fun generator(work: PlacedWork, candidates: List<EngineCandidate>, reader: EngineCandidate): EndpointId? =
+        candidates.filter { it.role != EngineRole.PREFILL }.minByOrNull { fetchCost(it, reader, work) }?.id
+
     private fun speed(engine: EngineCandidate): Double = when (engine.role) {
         EngineRole.PREFILL, EngineRole.MIXED -> speeds.tokensPerMillisecond
         EngineRole.DECODE -> speeds.tokensPerMillisecond * speeds.decodeShare
--- a/decisions/src/test/kotlin/org/nutmegspring/placement/EnginePlacementSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/placement/EnginePlacementSpec.kt
@@ -37,7 +37,7 @@
             val engines = listOf(engine("a", EngineRole.PREFILL), engine("b", EngineRole.PREFILL, heldTokens = 13_300))
             val plan = assertIs<EnginePlan.Handover>(placement.plan(work, engines + generator, here))
             assertEquals("b", plan.reader.id.value)
-            assertEquals("g", plan.generator.value)
+            assertEquals("g", placement.generator(work, engines + generator, plan.reader)?.value)
         }
 
         @Test
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
@@ -32,6 +32,10 @@
     /** The work of this instance at the endpoint. */
     val own = EngineLoad()
 
+    /** When the endpoint last answered a request of this instance, null before. */
+    var lastAnswerAt: MonotonicTime? = null
+        private set
+
     /** Whether the endpoint is left out after failures. */
     val health = EndpointHealth(HEALTH)
 
@@ -64,6 +68,7 @@
         val ratio = (actual / maxOf(expected, SHORTEST_EXPECTATION)).coerceIn(LEAST_SLOWDOWN, GREATEST_SLOWDOWN)
         slowdown = currentSlowdown(now) * (1 - SLOWDOWN_WEIGHT) + ratio * SLOWDOWN_WEIGHT
         slowdownAt = now
+        lastAnswerAt = now
     }
 
     /** Returns the requests of all instances at the endpoint. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
@@ -2,6 +2,7 @@
 
 import org.nutmegspring.failure.Effect
 import org.nutmegspring.failure.Failure
+import org.nutmegspring.failure.Step
 import org.nutmegspring.gateway.endpoints.EndpointState
 import org.nutmegspring.gateway.endpoints.EndpointTable
 import org.nutmegspring.gateway.http.AnswerPart
@@ -11,6 +12,7 @@
 import org.nutmegspring.gateway.wire.PromptFacts
 import org.nutmegspring.gateway.wire.ServingDialect
 import org.nutmegspring.identity.DataCentreId
+import org.nutmegspring.placement.EngineCandidate
 import org.nutmegspring.placement.EnginePlacement
 import org.nutmegspring.placement.EnginePlan
 import org.nutmegspring.placement.EngineSpeeds
@@ -18,42 +20,63 @@
 import org.nutmegspring.time.MonotonicClock
 import kotlin.time.Duration.Companion.milliseconds
 
+/** Where a request is sent after its prompt was prepared. */
+sealed interface Preparation {
+    /** To [engine]. */
+    class Ready(val engine: PreparedEngine) : Preparation
+
+    /** Another plan is needed. */
+    data object Again : Preparation
+
+    /** Nowhere, because of [reason]. */
+    class Impossible(val reason: String) : Preparation
+}
+
 /** Chooses engines by what is believed of them, has prompts read, and keeps the beliefs. */
 class EngineChoice(
     private val endpoints: EndpointTable,
     private val sender: EndpointSender,
     private val dialect: ServingDialect,
+    private val retries: ServiceRetries,
     private val dataCentre: DataCentreId,
     private val clock: MonotonicClock,
 ) {
     private val promptsRead = ArrayDeque<PromptReadReport>()
 
     /** Returns the plan for [run], or null when no engine can take it. */
-    fun choose(run: RequestRun): EnginePlan? {
-        val now = clock.now()
-        val prompt = run.admitted.facts.prompt
-        val chain = prompt?.chain.orEmpty()
-        val candidates = endpoints.usable(run.admitted.service, now, run.tried)
-            .map { it.asEngine(chain, now) }
-        return placement(run).plan(work(prompt), candidates, dataCentre)
+    fun choose(run: RequestRun): EnginePlan? = placement(run).plan(work(run), candidates(run), dataCentre)
+
+    /** Has the prompt read where [plan] says so, and returns where the request is sent next. */
+    suspend fun prepare(run: RequestRun, plan: EnginePlan): Preparation {
+        val reader = endpoints.state(plan.reader.id) ?: return Preparation.Again
+        return when (plan) {
+            is EnginePlan.Direct -> Preparation.Ready(prepared(run, reader, DispatchStage.Whole, plan))
+            is EnginePlan.Handover -> handOver(run, reader, plan)
+        }
     }
 
-    /** Has the prompt read where [plan] says so. Returns null when that failed and another plan is needed. */
-    suspend fun prepare(run: RequestRun, plan: EnginePlan): PreparedEngine? = when (plan) {
-        is EnginePlan.Direct -> {
-            endpoints.state(plan.reader.id)?.let { prepared(run, it, DispatchStage.Whole, plan) }
+    private suspend fun handOver(run: RequestRun, reader: EndpointState, plan: EnginePlan.Handover): Preparation {
+        if (run.prefillCalls > 0 && !retries.take(run.admitted.service)) {
+            return Preparation.Impossible("the budget for trying again is spent")
         }
-
-        is EnginePlan.Handover -> {
-            val reader = endpoints.state(plan.reader.id)
-            val handle = reader?.let { prefill(run, it, plan) }
-            val target = endpoints.state(plan.generator)
-            if (reader == null || handle == null || target == null) {
-                null
-            } else {
-                prepared(run, target, DispatchStage.Generate(reader.endpoint.address, handle.handle), plan)
-            }
+        val handle = prefill(run, reader, plan)
+        if (handle == null) {
+            run.tried += reader.endpoint.id
+            return Preparation.Again
         }
+        val generator = placement(run).generator(work(run), candidates(run), plan.reader)?.let(endpoints::state)
+        if (generator == null) {
+            sender.free(reader, handle.handle)
+            return Preparation.Impossible("no engine generates")
+        }
+        val stage = DispatchStage.Generate(reader.endpoint.address, handle.handle)
+        return Preparation.Ready(prepared(run, generator, stage, plan))
+    }
+
+    private fun candidates(run: RequestRun): List<EngineCandidate> {
+        val now = clock.now()
+        val chain = run.admitted.facts.prompt?.chain.orEmpty()
+        return endpoints.usable(run.admitted.service, now, run.tried).map { it.asEngine(chain, now) }
     }
 
     /** Records that the request of [run] is sent to [prepared]. */
@@ -69,7 +92,7 @@
     /** Records that [prepared] failed. */
     fun failed(prepared: PreparedEngine, failure: Failure, run: RequestRun) {
         if (failure.message.startsWith("another endpoint")) prepared.engine.isMisdirected = true
-        if (failure.effect == Effect.UNKNOWN || failure.step == org.nutmegspring.failure.Step.CONNECT) {
+        if (failure.effect == Effect.UNKNOWN || failure.step == Step.CONNECT) {
             prepared.engine.health.failed(clock.now())
         }
         if (prepared.stage is DispatchStage.Generate) run.tried.remove(prepared.engine.endpoint.id)
@@ -85,21 +108,18 @@
     private suspend fun prefill(run: RequestRun, reader: EndpointState, plan: EnginePlan.Handover): PrefilledPrompt? {
         val prompt = run.admitted.facts.prompt ?: return null
         val unread = unread(run, reader)
+        run.prefillCalls++
         reader.health.started(clock.now())
         read(reader, prompt)
         val ticket = EngineTicket(clock, reader, plan.expectedMilliseconds.milliseconds, unread, run.admitted.urgency)
         try {
-            val timeout = minOf(run.timeLeft(), ticket.patience())
-            val prefilled = within(timeout) { readPrefilled(run, reader) }
-            if (prefilled == null) {
-                reader.health.failed(clock.now())
-                run.tried += reader.endpoint.id
-                val failure = run.timedOut(reader.endpoint.address).copy(effect = Effect.NOT_RUN)
-                run.failed(reader, failure)
-            } else {
-                ticket.firstOutput()
-                run.trace.prefilledMilliseconds = run.elapsedMilliseconds()
+            val prefilled = ticket.whileAlive(run::timeLeft) { readPrefilled(run, reader, ticket) }
+            if (prefilled != null) {
                 reader.health.succeeded()
+                run.trace.prefilledMilliseconds = run.elapsedMilliseconds()
+            } else if (!ticket.hasAnswered) {
+                reader.health.failed(clock.now())
+                run.failed(reader, run.timedOut(reader.endpoint.address).copy(effect = Effect.NOT_RUN))
             }
             return prefilled
         } finally {
@@ -107,13 +127,19 @@
         }
     }
 
-    private suspend fun readPrefilled(run: RequestRun, reader: EndpointState): PrefilledPrompt? {
+    private suspend fun readPrefilled(run: RequestRun, reader: EndpointState, ticket: EngineTicket): PrefilledPrompt? {
         val dispatch = run.dispatch(reader, DispatchStage.Prefill, null)
         return when (val started = sender.send(run.exchange.call, dispatch, mayReuse = true)) {
-            is AttemptStart.Failed -> null
+            is AttemptStart.Failed -> {
+                if (started.failure.effect == Effect.NOT_RUN && started.failure.step != Step.CONNECT) ticket.refused()
+                run.failed(reader, started.failure.copy(effect = Effect.NOT_RUN))
+                null
+            }
 
             is AttemptStart.Answering -> try {
-                if (started.head.isSuccess) readBody(started)?.let(dialect::readPrefilled) else null
+                val handle = if (started.head.isSuccess) readBody(started)?.let(dialect::readPrefilled) else null
+                ticket.firstOutput()
+                handle
             } finally {
                 started.answer.close()
             }
@@ -150,11 +176,14 @@
         promptsRead += PromptReadReport(engine.endpoint.id, shared.map { it.chainHash }, shared.map { it.tokens })
     }
 
-    private fun work(prompt: PromptFacts?) = PlacedWork(
-        promptTokens = prompt?.promptTokens ?: 0,
-        sharedTokens = prompt?.sharedTokens ?: 0,
-        chainKey = prompt?.chain?.dropLast(1)?.lastOrNull()?.chainHash ?: 0,
-    )
+    private fun work(run: RequestRun): PlacedWork {
+        val prompt = run.admitted.facts.prompt
+        return PlacedWork(
+            promptTokens = prompt?.promptTokens ?: 0,
+            sharedTokens = prompt?.sharedTokens ?: 0,
+            chainKey = prompt?.chain?.dropLast(1)?.lastOrNull()?.chainHash ?: 0,
+        )
+    }
 
     private fun placement(run: RequestRun): EnginePlacement {
         val abilities = run.admitted.configuration.services[run.admitted.service]?.engines ?: return EnginePlacement()
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/RequestRun.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/RequestRun.kt
@@ -51,6 +51,9 @@
     /** Endpoints that are not tried again. */
     val tried = LinkedHashSet<EndpointId>()
 
+    /** How often an engine was asked to read the prompt. */
+    var prefillCalls = 0
+
     /** Whether an endpoint may have begun to run the request. */
     var mayHaveRun = false
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -48,7 +48,11 @@
             }
             val isFurther = run.trace.endpoints.isNotEmpty()
             if (isFurther && !retries.take(run.admitted.service)) return last
-            val prepared = choice.prepare(run, plan) ?: continue
+            val prepared = when (val preparation = choice.prepare(run, plan)) {
+                is Preparation.Ready -> preparation.engine
+                Preparation.Again -> continue
+                is Preparation.Impossible -> return RunEnd.NotRun(preparation.reason, RETRY_PAUSE)
+            }
             run.trace.endpoints += prepared.engine.endpoint.id
             run.tried += prepared.engine.endpoint.id
             val failure = attempt(run, prepared, progress) ?: return RunEnd.Delivered(STATUS_OK)
@@ -98,7 +102,7 @@
         if (!started.head.isSuccess || !started.head.facts.isSigned) return refused(run, prepared, progress, started)
         val events = EventSplitter()
         while (true) {
-            val part = within(waitFor(run, ticket)) { started.answer.next() }
+            val part = next(run, ticket, started)
                 ?: return failed(run, prepared, run.timedOut(prepared.engine.endpoint.address))
             when (part) {
                 is AnswerPart.Body -> {
@@ -184,12 +188,14 @@
         return AttemptEnd.Delivered(started.head.status)
     }
 
-    /** How long the next part is waited for: less before the first output, so that another engine can be tried. */
-    private fun waitFor(run: RequestRun, ticket: EngineTicket): Duration {
-        val left = run.timeLeft()
-        val canMove =
-            run.admitted.route.kind.isRepeatable && run.trace.endpoints.size < run.admitted.route.maximumAttempts
-        return if (canMove && !ticket.hasOutput) minOf(left, ticket.patience()) else left
+    /** Waits for the next part; before the first output only while the engine shows that it lives. */
+    private suspend fun next(run: RequestRun, ticket: EngineTicket, started: AttemptStart.Answering): AnswerPart? {
+        val canMove = run.admitted.route.kind.isRepeatable && run.trace.endpoints.size < run.admitted.route.maximumAttempts
+        return if (canMove && !ticket.hasOutput) {
+            ticket.whileAlive(run::timeLeft) { started.answer.next() }
+        } else {
+            within(run.timeLeft()) { started.answer.next() }
+        }
     }
 
     private fun failed(run: RequestRun, prepared: PreparedEngine, failure: Failure): AttemptEnd {
@@ -216,57 +222,3 @@
         val RETRY_PAUSE = 150.milliseconds
     }
 }
-
-/** An engine to which a request can be sent, and the part of the work that it is asked for. */
-class PreparedEngine(
-    val engine: EndpointState,
-    val stage: DispatchStage,
-    val expected: Duration,
-    val unreadTokens: Long,
-)
-
-/** The work of one request at one engine, while it lasts. */
-class EngineTicket(
-    private val clock: MonotonicClock,
-    private val engine: EndpointState,
-    private val expected: Duration,
-    private val unreadTokens: Long,
-    private val urgency: Int,
-) {
-    private val began = clock.now()
-    private var isRead = false
-    private var isEnded = false
-
-    /** Whether the engine has made output. */
-    val hasOutput: Boolean get() = isRead
-
-    init {
-        engine.own.sent(unreadTokens, urgency)
-    }
-
-    /** Records the first output. */
-    fun firstOutput() {
-        if (isRead) return
-        isRead = true
-        engine.own.read(unreadTokens, urgency)
-        engine.answered(expected, clock.now() - began, clock.now())
-    }
-
-    /** Records the end. */
-    fun ended() {
-        if (isEnded) return
-        isEnded = true
-        if (!isRead) engine.own.read(unreadTokens, urgency)
-        engine.own.ended()
-    }
-
-    /** Returns how much longer the first output is waited for before another engine is tried. */
-    fun patience(): Duration =
-        (expected * PATIENCE_FACTOR + LEAST_PATIENCE - (clock.now() - began)).coerceAtLeast(1.milliseconds)
-
-    private companion object {
-        /** Estimates are rough; an engine that takes this many times as long is dark or very slow. */
-        const val PATIENCE_FACTOR = 3.0
-        val LEAST_PATIENCE = 400.milliseconds
-    }
-}
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -108,8 +108,9 @@
     private val counts = WindowCounts(windowLength(initial).inWholeMilliseconds)
     private val usage = UsageCounter(counts)
     private val sender = EndpointSender(connections, platform.dialect)
-    private val choice = EngineChoice(endpoints, sender, platform.dialect, initial.instance.dataCentre, clock)
     private val retries = ServiceRetries(clock, ::retryBounds) { peers.registered.size + 1 }
+    private val choice =
+        EngineChoice(endpoints, sender, platform.dialect, retries, initial.instance.dataCentre, clock)
     private var phase = InstancePhase.JOINING
     private var sequence = 0L
     private val servers = mutableListOf<HttpServer>()
