--- a/decisions/src/main/kotlin/org/nutmegspring/placement/EnginePlacement.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/placement/EnginePlacement.kt
@@ -42,18 +42,23 @@
     /** The time until the first output, in milliseconds. */
     val expectedMilliseconds: Double
 
+    /** The time until the prompt begins to be read, in milliseconds. */
+    val waitMilliseconds: Double
+
     /** The engine that reads the prompt, as it was believed to be. */
     val reader: EngineCandidate
 
     /** One engine reads the prompt and generates. */
     data class Direct(
         override val reader: EngineCandidate,
+        override val waitMilliseconds: Double,
         override val expectedMilliseconds: Double,
     ) : EnginePlan
 
     /** [reader] reads the prompt, and another engine fetches what was read and generates. */
     data class Handover(
         override val reader: EngineCandidate,
+        override val waitMilliseconds: Double,
         override val expectedMilliseconds: Double,
     ) : EnginePlan
 }
@@ -98,12 +103,12 @@
         }
         return when {
             direct != null && directCost(direct, work, from) <= handover -> {
-                EnginePlan.Direct(direct, readMilliseconds(direct, work) + FIRST_STEP_MILLISECONDS)
+                EnginePlan.Direct(direct, waitMilliseconds(direct), readMilliseconds(direct, work) + FIRST_STEP_MILLISECONDS)
             }
 
             reader != null && target != null -> {
                 val expected = readMilliseconds(reader, work) + fetchMilliseconds(target, reader, work)
-                EnginePlan.Handover(reader, expected + FIRST_STEP_MILLISECONDS)
+                EnginePlan.Handover(reader, waitMilliseconds(reader), expected + FIRST_STEP_MILLISECONDS)
             }
 
             else -> {
@@ -126,6 +131,8 @@
 
     private fun unread(engine: EngineCandidate, work: PlacedWork) = work.promptTokens - engine.heldTokens
 
+    private fun waitMilliseconds(engine: EngineCandidate): Double = engine.tokensAhead / speed(engine)
+
     private fun readMilliseconds(engine: EngineCandidate, work: PlacedWork): Double =
         (engine.tokensAhead + unread(engine, work)) / speed(engine)
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/configuration/ServingConfiguration.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/configuration/ServingConfiguration.kt
@@ -157,6 +157,14 @@
         .mapValues { (_, ofHost) -> ofHost.associateBy { it.pathPrefix } }
     private val organisationsByKey = organisations.flatMap { owner -> owner.keys.map { it to owner } }.toMap()
 
+    private val shortestObjectives = routes.filter { it.kind is RouteKind.Streaming }
+        .flatMap { route -> route.services.map { it.service to route.objective } }
+        .groupBy({ it.first }, { it.second })
+        .mapValues { (_, objectives) -> objectives.min() }
+
+    /** Returns the shortest objective of a stream that [service] makes. */
+    fun shortestStreamObjective(service: ServiceId): Duration = shortestObjectives[service] ?: Duration.INFINITE
+
     /** Whether requests need a key unless their route is public. */
     val needsKeys: Boolean get() = organisations.isNotEmpty()
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -1,5 +1,7 @@
 package org.nutmegspring.gateway.forwarding
 
+import org.nutmegspring.admission.FirstOutputLimit
+import org.nutmegspring.admission.FirstOutputVerdict
 import org.nutmegspring.failure.Effect
 import org.nutmegspring.failure.Failure
 import org.nutmegspring.failure.Peer
@@ -9,7 +11,6 @@
 import org.nutmegspring.gateway.http.AnswerPart
 import org.nutmegspring.gateway.http.withoutHopHeaders
 import org.nutmegspring.gateway.wire.DispatchStage
-import org.nutmegspring.time.MonotonicClock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -24,7 +25,7 @@
     private val sender: EndpointSender,
     private val retries: ServiceRetries,
     private val usage: UsageCounter,
-    private val clock: MonotonicClock,
+    private val limit: FirstOutputLimit,
 ) {
     /** The answer to one caller, over all attempts. */
     private class Progress(var lastEvent: String?) {
@@ -41,10 +42,12 @@
             val plan = choice.choose(run) ?: return last
             val expected = plan.expectedMilliseconds.milliseconds
             if (run.trace.plan == null) run.trace.plan = plan
-            val patience = run.firstOutputTimeLeft()
-            if (!progress.hasOutput && expected > patience) {
+            val objective = run.admitted.configuration.shortestStreamObjective(run.admitted.service)
+            val wait = plan.waitMilliseconds.milliseconds
+            val verdict = limit.decide(wait, expected, objective, run.firstOutputTimeLeft())
+            if (verdict is FirstOutputVerdict.Refuse && !progress.hasOutput) {
                 if (run.mayHaveRun) return last
-                return RunEnd.NotRun("the caller would leave before the first output", expected - patience)
+                return RunEnd.NotRun("the first output would be late", verdict.comeBackAfter)
             }
             val isFurther = run.trace.endpoints.isNotEmpty()
             if (isFurther && !retries.take(run.admitted.service)) return last
