Part the stream forwarder into steps, and drop what nothing uses

An answer that has begun is never refused any more (found by reading: a resumed run without a generating engine got 'not run', and its connection stayed open); a handler that fails closes its connection (HttpServerSpec). Loads of engines are one figure, since engines read in the order of arrival. Pools, loads of answers and address queries had no caller.

--- a/command-line/src/test/kotlin/org/nutmegspring/commandline/process/ProcessFleet.kt
+++ b/command-line/src/test/kotlin/org/nutmegspring/commandline/process/ProcessFleet.kt
@@ -21,10 +21,10 @@
 import org.nutmegspring.node.configuration.hashOf
 import org.nutmegspring.platform.ListedInstance
 import org.nutmegspring.platform.ListedState
-import org.nutmegspring.storeclient.PlatformPaths
 import org.nutmegspring.standin.platform.registerInstance
 import org.nutmegspring.standin.service.ExecutionCounts
 import org.nutmegspring.standin.service.ServiceStandIn
+import org.nutmegspring.storeclient.PlatformPaths
 import java.io.File
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.time.Duration.Companion.milliseconds
--- a/decisions/src/main/kotlin/org/nutmegspring/placement/EnginePlacement.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/placement/EnginePlacement.kt
@@ -103,7 +103,11 @@
         }
         return when {
             direct != null && directCost(direct, work, from) <= handover -> {
-                EnginePlan.Direct(direct, waitMilliseconds(direct), readMilliseconds(direct, work) + FIRST_STEP_MILLISECONDS)
+                EnginePlan.Direct(
+                    direct,
+                    waitMilliseconds(direct),
+                    readMilliseconds(direct, work) + FIRST_STEP_MILLISECONDS,
+                )
             }
 
             reader != null && target != null -> {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/configuration/ServingConfiguration.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/configuration/ServingConfiguration.kt
@@ -1,6 +1,5 @@
 package org.nutmegspring.gateway.configuration
 
-import org.nutmegspring.identity.DataCentreId
 import org.nutmegspring.identity.OrganisationId
 import org.nutmegspring.identity.ServiceId
 import org.nutmegspring.quota.QuotaRate
@@ -95,28 +94,10 @@
     val linkMegabitsPerSecond: Double,
 )
 
-/**
- * How many endpoints of a service may be ordered in a data centre, and what they cost.
- *
- * @property startup how long a new endpoint takes until it serves
- * @property prices the price of an endpoint for a time unit, by data centre
- * @property reclaimablePrice the part of the price that a reclaimable endpoint costs
- */
-data class PoolBounds(
-    val least: Int,
-    val most: Int,
-    val startup: Duration,
-    val prices: Map<DataCentreId, Double>,
-    val reclaimablePrice: Double?,
-)
-
 /** A service behind the system. [engines] is null for a plain service. */
 data class ServiceDefinition(
     val id: ServiceId,
-    val healthPath: String,
-    val maximumConnections: Int,
     val engines: EngineAbilities?,
-    val pool: PoolBounds?,
 )
 
 /** How the requests of an organisation are charged to its quota. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
@@ -57,7 +57,7 @@
     fun reads(chain: List<PromptPart>) = belief.read(chain)
 
     /** Takes what another instance told of its work at the endpoint. */
-    fun heard(instance: InstanceId, waitingTokens: List<Long>, requests: Int, now: MonotonicTime) {
+    fun heard(instance: InstanceId, waitingTokens: Long, requests: Int, now: MonotonicTime) {
         val peer = peers.getOrPut(instance) { PeerLoad(EngineLoad(), now) }
         peer.load.replace(waitingTokens, requests)
         peer.heardAt = now
@@ -79,7 +79,7 @@
         id = endpoint.id,
         role = endpoint.role ?: EngineRole.MIXED,
         dataCentre = endpoint.dataCentre,
-        tokensAhead = own.ahead() + freshPeers(now).sumOf { it.ahead() },
+        tokensAhead = own.waitingTokens + freshPeers(now).sumOf { it.waitingTokens },
         heldTokens = belief.heldTokens(chain),
         requests = requests(now),
         slots = endpoint.slots,
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/ServingEndpoint.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/ServingEndpoint.kt
@@ -13,7 +13,6 @@
  * @property slots requests that it runs at once
  * @property role the part of the work that an engine accepts, null for a plain service
  * @property bornAt the start of the process, in milliseconds since the epoch; an id may be used again
- * @property reclaimable whether it may be withdrawn with its whole data centre at short notice
  */
 data class ServingEndpoint(
     val id: EndpointId,
@@ -24,5 +23,4 @@
     val state: ListedState,
     val role: EngineRole?,
     val bornAt: Long?,
-    val reclaimable: Boolean,
 )
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
@@ -83,7 +83,7 @@
     fun sent(run: RequestRun, prepared: PreparedEngine): EngineTicket {
         prepared.engine.health.started(clock.now())
         run.admitted.facts.prompt?.let { read(prepared.engine, it) }
-        return EngineTicket(clock, prepared.engine, prepared.expected, prepared.unreadTokens, run.admitted.urgency)
+        return EngineTicket(clock, prepared.engine, prepared.expected, prepared.unreadTokens)
     }
 
     /** Records that [prepared] completed a request. */
@@ -111,7 +111,7 @@
         run.prefillCalls++
         reader.health.started(clock.now())
         read(reader, prompt)
-        val ticket = EngineTicket(clock, reader, plan.expectedMilliseconds.milliseconds, unread, run.admitted.urgency)
+        val ticket = EngineTicket(clock, reader, plan.expectedMilliseconds.milliseconds, unread)
         try {
             val prefilled = ticket.whileAlive(run::timeLeft) { readPrefilled(run, reader, ticket) }
             if (prefilled != null) {
@@ -127,7 +127,11 @@
         }
     }
 
-    private suspend fun readPrefilled(run: RequestRun, reader: EndpointState, ticket: EngineTicket): PrefilledPrompt? {
+    private suspend fun readPrefilled(
+        run: RequestRun,
+        reader: EndpointState,
+        ticket: EngineTicket,
+    ): PrefilledPrompt? {
         val dispatch = run.dispatch(reader, DispatchStage.Prefill, null)
         return when (val started = sender.send(run.exchange.call, dispatch, mayReuse = true)) {
             is AttemptStart.Failed -> {
@@ -136,12 +140,14 @@
                 null
             }
 
-            is AttemptStart.Answering -> try {
-                val handle = if (started.head.isSuccess) readBody(started)?.let(dialect::readPrefilled) else null
-                ticket.firstOutput()
-                handle
-            } finally {
-                started.answer.close()
+            is AttemptStart.Answering -> {
+                try {
+                    val handle = if (started.head.isSuccess) readBody(started)?.let(dialect::readPrefilled) else null
+                    ticket.firstOutput()
+                    handle
+                } finally {
+                    started.answer.close()
+                }
             }
         }
     }
@@ -157,7 +163,12 @@
         }
     }
 
-    private fun prepared(run: RequestRun, engine: EndpointState, stage: DispatchStage, plan: EnginePlan): PreparedEngine {
+    private fun prepared(
+        run: RequestRun,
+        engine: EndpointState,
+        stage: DispatchStage,
+        plan: EnginePlan,
+    ): PreparedEngine {
         val unread = if (stage is DispatchStage.Generate) 0 else unread(run, engine)
         return PreparedEngine(engine, stage, plan.expectedMilliseconds.milliseconds, unread)
     }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineTicket.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineTicket.kt
@@ -23,7 +23,6 @@
     private val engine: EndpointState,
     private val expected: Duration,
     private val unreadTokens: Long,
-    private val urgency: Int,
 ) {
     private val began = clock.now()
     private var isRead = false
@@ -37,7 +36,7 @@
         private set
 
     init {
-        engine.own.sent(unreadTokens, urgency)
+        engine.own.sent(unreadTokens)
     }
 
     /** Records the first output. */
@@ -45,7 +44,7 @@
         if (isRead) return
         isRead = true
         hasAnswered = true
-        engine.own.read(unreadTokens, urgency)
+        engine.own.read(unreadTokens)
         engine.answered(expected, clock.now() - began, clock.now())
     }
 
@@ -58,7 +57,7 @@
     fun ended() {
         if (isEnded) return
         isEnded = true
-        if (!isRead) engine.own.read(unreadTokens, urgency)
+        if (!isRead) engine.own.read(unreadTokens)
         engine.own.ended()
     }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/GatewayHandler.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/GatewayHandler.kt
@@ -84,6 +84,7 @@
     }
 
     private fun conclude(run: RequestRun, end: RunEnd) {
+        if (end is RunEnd.NotRun && run.exchange.isStarted) return conclude(run, RunEnd.BrokenOff(end.reason))
         when (end) {
             is RunEnd.Delivered -> {
                 ended(run, RequestOutcome.DELIVERED, end.status, null)
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/ServiceForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/ServiceForwarder.kt
@@ -75,7 +75,7 @@
             endpoints.usable(run.admitted.service, clock.now(), run.tried).isNotEmpty()
 
     private suspend fun attempt(run: RequestRun, endpoint: EndpointState): Outcome {
-        endpoint.own.sent(0, run.admitted.urgency)
+        endpoint.own.sent(tokens = 0)
         endpoint.health.started(clock.now())
         val began = clock.now()
         try {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -10,7 +10,7 @@
 import org.nutmegspring.gateway.endpoints.EndpointState
 import org.nutmegspring.gateway.http.AnswerPart
 import org.nutmegspring.gateway.http.withoutHopHeaders
-import org.nutmegspring.gateway.wire.DispatchStage
+import org.nutmegspring.placement.EnginePlan
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -32,6 +32,9 @@
         var isStarted = false
         var hasOutput = false
         var isCounted = false
+
+        /** Whether another engine can go on: nothing was passed on, or it is known after which event. */
+        val canContinue: Boolean get() = !isStarted || lastEvent != null
     }
 
     /** Serves [run]. */
@@ -39,31 +42,77 @@
         val progress = Progress(run.admitted.facts.lastEvent)
         var last: RunEnd = RunEnd.NotRun("no engine can take the request", RETRY_PAUSE)
         while (true) {
-            val plan = choice.choose(run) ?: return last
-            val expected = plan.expectedMilliseconds.milliseconds
-            if (run.trace.plan == null) run.trace.plan = plan
-            val objective = run.admitted.configuration.shortestStreamObjective(run.admitted.service)
-            val wait = plan.waitMilliseconds.milliseconds
-            val verdict = limit.decide(wait, expected, objective, run.firstOutputTimeLeft())
-            if (verdict is FirstOutputVerdict.Refuse && !progress.hasOutput) {
-                if (run.mayHaveRun) return last
-                return RunEnd.NotRun("the first output would be late", verdict.comeBackAfter)
+            when (val next = nextAttempt(run, progress, last)) {
+                is Next.Ended -> return next.end
+                is Next.Again -> last = next.end
+            }
+        }
+    }
+
+    /** What follows one attempt. */
+    private sealed interface Next {
+        class Ended(val end: RunEnd) : Next
+
+        /** Another attempt follows; without one the request would end with [end]. */
+        class Again(val end: RunEnd) : Next
+    }
+
+    private suspend fun nextAttempt(run: RequestRun, progress: Progress, last: RunEnd): Next {
+        val plan = choice.choose(run) ?: return Next.Ended(last)
+        if (run.trace.plan == null) run.trace.plan = plan
+        val refusal = refusal(run, progress, plan)
+        val isFurther = run.trace.endpoints.isNotEmpty()
+        return when {
+            refusal != null -> {
+                Next.Ended(if (run.mayHaveRun) last else refusal)
+            }
+
+            isFurther && !retries.take(run.admitted.service) -> {
+                Next.Ended(last)
+            }
+
+            else -> {
+                when (val preparation = choice.prepare(run, plan)) {
+                    is Preparation.Ready -> attemptAt(run, progress, preparation.engine)
+                    Preparation.Again -> Next.Again(last)
+                    is Preparation.Impossible -> Next.Ended(impossible(run, preparation.reason, last))
+                }
+            }
+        }
+    }
+
+    /** Returns the refusal of a request whose first output would be late, or null. */
+    private fun refusal(run: RequestRun, progress: Progress, plan: EnginePlan): RunEnd? {
+        if (progress.hasOutput) return null
+        val verdict = limit.decide(
+            wait = plan.waitMilliseconds.milliseconds,
+            expected = plan.expectedMilliseconds.milliseconds,
+            shortestObjective = run.admitted.configuration.shortestStreamObjective(run.admitted.service),
+            patience = run.firstOutputTimeLeft(),
+        )
+        return when (verdict) {
+            FirstOutputVerdict.Send -> null
+            is FirstOutputVerdict.Refuse -> RunEnd.NotRun("the first output would be late", verdict.comeBackAfter)
+        }
+    }
+
+    private fun impossible(run: RequestRun, reason: String, last: RunEnd): RunEnd =
+        if (run.mayHaveRun) last else RunEnd.NotRun(reason, RETRY_PAUSE)
+
+    private suspend fun attemptAt(run: RequestRun, progress: Progress, prepared: PreparedEngine): Next {
+        run.trace.endpoints += prepared.engine.endpoint.id
+        run.tried += prepared.engine.endpoint.id
+        return when (val end = attempt(run, prepared, progress)) {
+            is AttemptEnd.Delivered -> {
+                Next.Ended(RunEnd.Delivered(end.status))
             }
-            val isFurther = run.trace.endpoints.isNotEmpty()
-            if (isFurther && !retries.take(run.admitted.service)) return last
-            val prepared = when (val preparation = choice.prepare(run, plan)) {
-                is Preparation.Ready -> preparation.engine
-                Preparation.Again -> continue
-                is Preparation.Impossible -> return RunEnd.NotRun(preparation.reason, RETRY_PAUSE)
+
+            is AttemptEnd.Failed -> {
+                run.failed(prepared.engine, end.failure)
+                val runEnd = endOf(run, progress, end.failure)
+                val mayGoOn = run.mayTryAgain(end.failure.effect) && progress.canContinue
+                if (mayGoOn) Next.Again(runEnd) else Next.Ended(runEnd)
             }
-            run.trace.endpoints += prepared.engine.endpoint.id
-            run.tried += prepared.engine.endpoint.id
-            val failure = attempt(run, prepared, progress) ?: return RunEnd.Delivered(STATUS_OK)
-            if (failure is AttemptEnd.Delivered) return RunEnd.Delivered(failure.status)
-            val cause = (failure as AttemptEnd.Failed).failure
-            run.failed(prepared.engine, cause)
-            last = endOf(run, progress, cause)
-            if (!run.mayTryAgain(cause.effect) || progress.isStarted && progress.lastEvent == null) return last
         }
     }
 
@@ -73,7 +122,7 @@
         class Failed(val failure: Failure) : AttemptEnd
     }
 
-    private suspend fun attempt(run: RequestRun, prepared: PreparedEngine, progress: Progress): AttemptEnd? {
+    private suspend fun attempt(run: RequestRun, prepared: PreparedEngine, progress: Progress): AttemptEnd {
         val engine = prepared.engine
         val ticket = choice.sent(run, prepared)
         var answering: AttemptStart.Answering? = null
@@ -101,33 +150,46 @@
         progress: Progress,
         started: AttemptStart.Answering,
         ticket: EngineTicket,
-    ): AttemptEnd? {
+    ): AttemptEnd {
         if (!started.head.isSuccess || !started.head.facts.isSigned) return refused(run, prepared, progress, started)
         val events = EventSplitter()
         while (true) {
             val part = next(run, ticket, started)
-                ?: return failed(run, prepared, run.timedOut(prepared.engine.endpoint.address))
-            when (part) {
-                is AnswerPart.Body -> {
-                    events.add(part.bytes).forEach { pass(run, progress, started.head, it, ticket) }
-                }
+            if (part is AnswerPart.Body) {
+                events.add(part.bytes).forEach { pass(run, progress, started.head, it, ticket) }
+            } else {
+                return ended(run, prepared, progress, started.head, events, part)
+            }
+        }
+    }
 
-                is AnswerPart.End -> {
-                    if (events.hasPartialEvent) passRest(run, progress, started.head, events.rest())
-                    if (!progress.isStarted) start(run, progress, started.head)
-                    run.exchange.finish()
-                    choice.succeeded(prepared)
-                    return null
-                }
+    /** Ends an attempt with its last [part], null when the engine fell silent. */
+    private fun ended(
+        run: RequestRun,
+        prepared: PreparedEngine,
+        progress: Progress,
+        head: AnswerHead,
+        events: EventSplitter,
+        part: AnswerPart?,
+    ): AttemptEnd = when (part) {
+        is AnswerPart.End -> {
+            if (events.hasPartialEvent) passRest(run, progress, head, events.rest())
+            if (!progress.isStarted) start(run, progress, head)
+            run.exchange.finish()
+            choice.succeeded(prepared)
+            AttemptEnd.Delivered(head.status)
+        }
 
-                is AnswerPart.Broken -> {
-                    return failed(run, prepared, broken(prepared, part.reason))
-                }
+        is AnswerPart.Broken -> {
+            failed(run, prepared, broken(prepared, part.reason))
+        }
 
-                is AnswerPart.Head -> {
-                    return failed(run, prepared, broken(prepared, "a second head in one answer"))
-                }
-            }
+        null -> {
+            failed(run, prepared, run.timedOut(prepared.engine.endpoint.address))
+        }
+
+        is AnswerPart.Head, is AnswerPart.Body -> {
+            failed(run, prepared, broken(prepared, "a second head in one answer"))
         }
     }
 
@@ -193,7 +255,8 @@
 
     /** Waits for the next part; before the first output only while the engine shows that it lives. */
     private suspend fun next(run: RequestRun, ticket: EngineTicket, started: AttemptStart.Answering): AnswerPart? {
-        val canMove = run.admitted.route.kind.isRepeatable && run.trace.endpoints.size < run.admitted.route.maximumAttempts
+        val canMove =
+            run.admitted.route.kind.isRepeatable && run.trace.endpoints.size < run.admitted.route.maximumAttempts
         return if (canMove && !ticket.hasOutput) {
             ticket.whileAlive(run::timeLeft) { started.answer.next() }
         } else {
@@ -216,8 +279,6 @@
     }
 
     private companion object {
-        const val STATUS_OK = 200
-
         /** Statuses by which a caller knows that nothing ran; an engine's own do not say so without its proof. */
         val PROMISING_STATUSES = setOf(408, 421, 429, 503)
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.concurrent.ScheduledFuture
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
@@ -168,7 +169,9 @@
         if (running != null) return
         val request = waiting.removeFirstOrNull() ?: return schedule(limits.idleTimeout) { close() }
         keepAlive = request.keepAlive
-        running = scope.launch { handler.handle(CallerExchange(request.call, this@CallerConnection)) }
+        val job = scope.launch { handler.handle(CallerExchange(request.call, this@CallerConnection)) }
+        running = job
+        job.invokeOnCompletion { cause -> if (cause != null && cause !is CancellationException) abort() }
     }
 
     /** Writes [message]; the last one of an answer makes way for the next request. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
@@ -77,7 +77,7 @@
         val body = if (call.body.isEmpty()) Unpooled.EMPTY_BUFFER else Unpooled.wrappedBuffer(call.body)
         val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(call.method), call.target, body)
         request.headers().set(call.headers)
-        if (call.body.isNotEmpty() || call.method != "GET" && call.method != "DELETE") {
+        if (call.body.isNotEmpty() || call.method !in BODILESS_METHODS) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body.size)
         }
         written = channel.writeAndFlush(request)
@@ -169,6 +169,7 @@
 
     private companion object {
         const val FIRST_FINAL_STATUS = 200
+        val BODILESS_METHODS = setOf("GET", "DELETE")
         const val KEEP_ALIVE = "Keep-Alive"
         val TIMEOUT_PARAMETER = Regex("timeout=(\\d+)")
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -274,8 +274,10 @@
         val record = InstanceRecord(settings.addresses.exchange, settings.addresses.callers)
         while (true) {
             val found = records.read(key)
-            val isThere = found.fold({ false }, { it?.value == record }) ||
-                found.isRight() && records.write(key, record, found.getOrNull().asCondition()).isRight()
+            val isThere = found.fold(
+                { false },
+                { it?.value == record || records.write(key, record, it.asCondition()).isRight() },
+            )
             if (isThere) return
             delay(REGISTER_PAUSE)
         }
@@ -331,8 +333,8 @@
         val busy = endpoints.all().filter { it.own.requests > 0 }
         val ended = toldIdle - busy.map { it.endpoint.id }.toSet()
         toldIdle = busy.map { it.endpoint.id }.toSet()
-        return busy.map { EndpointLoadReport(it.endpoint.id, it.own.waiting(), it.own.requests) } +
-            ended.map { EndpointLoadReport(it, emptyList(), 0) }
+        return busy.map { EndpointLoadReport(it.endpoint.id, it.own.waitingTokens, it.own.requests) } +
+            ended.map { EndpointLoadReport(it, 0, 0) }
     }
 
     private fun isReady(): Boolean = phase == InstancePhase.READY &&
@@ -392,7 +394,7 @@
         /** Shorter waits prove more often that the configuration is the newest, and cost more calls. */
         val CONFIGURATION_WAIT = 1200.milliseconds
 
-        /** A silent connection to the store is noticed after this and a margin, within the time for departing endpoints. */
+        /** A silent connection to the store is noticed after this and a margin, before an endpoint has to be left. */
         val ENDPOINT_WAIT = 1000.milliseconds
         val INSTANCE_WAIT = 10.seconds
         val RENEW_EVERY = 1.seconds
@@ -409,7 +411,7 @@
         /** The part of the time given that is used for finishing what runs. */
         const val LONGEST_STOP_SHARE = 0.8
 
-        /** The part of the time for revocation up to which the proof may age; the rest covers the way to an endpoint. */
+        /** The part of the time for revocation up to which the proof may age; the rest covers the way on. */
         const val EVIDENCE_SHARE = 0.9
 
         /** The part of the time for a new configuration within which an unknown key or route is refused for good. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PlainHandlers.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PlainHandlers.kt
@@ -23,7 +23,7 @@
     addresses: () -> List<String>,
 ) = RequestHandler { exchange ->
     val known = addresses()
-    val isQuery = dialect.readAddressQuery(exchange.call.target) != null
+    val isQuery = dialect.isAddressQuery(exchange.call.target)
     if (!isQuery || known.isEmpty()) {
         exchange.respond(if (isQuery) STATUS_UNAVAILABLE else STATUS_NOT_FOUND, DefaultHttpHeaders(), HttpCall.EMPTY)
     } else {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/GatewayMetrics.kt
@@ -49,6 +49,7 @@
     /** Returns all figures in the text format. */
     fun scrape(): String = registry.scrape()
 
+    @Suppress("SpreadOperator") // Micrometer takes the boundaries as a variable argument list.
     private fun timer(name: String, kind: String): Timer = Timer.builder(name)
         .tag("kind", kind)
         .publishPercentileHistogram(false)
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
@@ -12,7 +12,7 @@
 @Serializable
 data class EndpointLoadReport(
     val endpoint: EndpointId,
-    val waitingTokens: List<Long>,
+    val waitingTokens: Long,
     val requests: Int,
 )
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/store/PlatformPorts.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/store/PlatformPorts.kt
@@ -5,11 +5,9 @@
 import org.nutmegspring.gateway.configuration.ServingConfiguration
 import org.nutmegspring.gateway.endpoints.ServingEndpoint
 import org.nutmegspring.gateway.wire.ServingDialect
-import org.nutmegspring.identity.DataCentreId
 import org.nutmegspring.identity.FencingNumber
 import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.identity.OrganisationId
-import org.nutmegspring.identity.ServiceId
 import org.nutmegspring.platform.ObjectStore
 import org.nutmegspring.platform.StoreFailure
 import kotlin.time.Duration
@@ -20,14 +18,6 @@
     val fencing: FencingNumber,
 )
 
-/** How many endpoints of a service should run in a data centre. */
-data class PoolTarget(
-    val service: ServiceId,
-    val dataCentre: DataCentreId,
-    val endpoints: Int,
-    val reclaimable: Boolean,
-)
-
 /** Calls that only the holder of a duty may make. Each is paid for. */
 interface DutyCalls {
     /** Reports how many requests of each organisation began in [window]. A repeat of the same report is harmless. */
@@ -38,9 +28,6 @@
         timeout: Duration,
     ): Either<StoreFailure, Unit>
 
-    /** Asks the platform for [target]. */
-    suspend fun orderEndpoints(target: PoolTarget, holder: DutyHolder, timeout: Duration): Either<StoreFailure, Unit>
-
     /** Asks [engine] to change to [role]. */
     suspend fun orderRole(
         engine: ServingEndpoint,
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/wire/RequestFacts.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/wire/RequestFacts.kt
@@ -63,13 +63,6 @@
     val lastEvent: String?,
 )
 
-/** The load that an endpoint tells with an answer. */
-data class ReportedLoad(
-    val running: Int,
-    val waiting: Int,
-    val slots: Int,
-)
-
 /**
  * What the head of an endpoint's answer tells.
  *
@@ -82,7 +75,6 @@
     val isSigned: Boolean,
     val hasNotRun: Boolean,
     val isOtherEndpoint: Boolean,
-    val load: ReportedLoad?,
 )
 
 /** A prompt that an engine has read and holds for another engine. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/wire/ServingDialect.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/wire/ServingDialect.kt
@@ -3,12 +3,6 @@
 import io.netty.handler.codec.http.HttpHeaders
 import org.nutmegspring.gateway.http.HttpCall
 
-/** A question of a caller for the addresses to use. */
-data class AddressQuery(
-    val host: String?,
-    val dataCentre: String?,
-)
-
 /** Translates between heads of requests and answers and the types of the gateway. It decides nothing. */
 interface ServingDialect {
     /** Returns what the head of a caller's request tells. */
@@ -29,8 +23,8 @@
     /** Whether [target] asks whether this instance is ready. */
     fun isReadinessQuery(target: String): Boolean
 
-    /** Returns the question for addresses that [target] asks, or null when it asks something else. */
-    fun readAddressQuery(target: String): AddressQuery?
+    /** Whether [target] asks which addresses to use. */
+    fun isAddressQuery(target: String): Boolean
 
     /** Returns the answer that names [addresses], to be kept for [keepSeconds]. */
     fun addressAnswer(addresses: List<String>, keepSeconds: Int): ByteArray
--- a/stand-ins/src/main/kotlin/org/nutmegspring/standin/platform/PlatformStandIn.kt
+++ b/stand-ins/src/main/kotlin/org/nutmegspring/standin/platform/PlatformStandIn.kt
@@ -34,12 +34,12 @@
 import org.nutmegspring.platform.UsageReport
 import org.nutmegspring.platform.VersionedObject
 import org.nutmegspring.platform.WriteCondition
+import org.nutmegspring.standin.server.StandInServer
+import org.nutmegspring.standin.server.startStandInServer
 import org.nutmegspring.storeclient.ConflictReply
 import org.nutmegspring.storeclient.PlatformPaths
 import org.nutmegspring.storeclient.WriteReply
 import org.nutmegspring.storeclient.platformJson
-import org.nutmegspring.standin.server.StandInServer
-import org.nutmegspring.standin.server.startStandInServer
 import org.nutmegspring.time.systemMonotonicClock
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
