--- /dev/null
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/UsageReporterSpec.kt
@@ -0,0 +1,161 @@
+package org.nutmegspring.gateway.duties
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Nested
+import org.nutmegspring.endpoint.EngineRole
+import org.nutmegspring.failure.Effect
+import org.nutmegspring.failure.Failure
+import org.nutmegspring.failure.Peer
+import org.nutmegspring.failure.Step
+import org.nutmegspring.gateway.endpoints.ServingEndpoint
+import org.nutmegspring.gateway.store.DutyCalls
+import org.nutmegspring.gateway.store.DutyHolder
+import org.nutmegspring.identity.FencingNumber
+import org.nutmegspring.identity.InstanceId
+import org.nutmegspring.identity.OrganisationId
+import org.nutmegspring.lease.HeldLease
+import org.nutmegspring.platform.ObjectKey
+import org.nutmegspring.platform.ObjectStore
+import org.nutmegspring.platform.ObjectVersion
+import org.nutmegspring.platform.StoreFailure
+import org.nutmegspring.platform.VersionedObject
+import org.nutmegspring.platform.WriteCondition
+import org.nutmegspring.time.MonotonicClock
+import org.nutmegspring.time.MonotonicTime
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+@OptIn(ExperimentalCoroutinesApi::class)
+class UsageReporterSpec {
+    private val theatre = OrganisationId("theatre")
+    private val store = CreateOnlyStore()
+    private val reports = mutableListOf<Pair<Long, Map<OrganisationId, Long>>>()
+    private var answers = true
+    private var isHeld = true
+
+    /** Objects that are created once. */
+    private class CreateOnlyStore : ObjectStore {
+        private val objects = HashMap<ObjectKey, VersionedObject>()
+
+        override suspend fun read(key: ObjectKey): Either<StoreFailure, VersionedObject?> = objects[key].right()
+
+        override suspend fun list(prefix: ObjectKey): Either<StoreFailure, List<VersionedObject>> =
+            objects.values.toList().right()
+
+        override suspend fun write(
+            key: ObjectKey,
+            value: String,
+            condition: WriteCondition,
+        ): Either<StoreFailure, ObjectVersion> {
+            objects[key]?.let { return StoreFailure.Conflict(it).left() }
+            val version = ObjectVersion(objects.size + 1L)
+            objects[key] = VersionedObject(key, version, value)
+            return version.right()
+        }
+
+        override suspend fun delete(key: ObjectKey, version: ObjectVersion): Either<StoreFailure, Unit> = Unit.right()
+
+        override suspend fun watch(
+            key: ObjectKey,
+            after: ObjectVersion?,
+            timeout: Duration,
+        ): Either<StoreFailure, VersionedObject?> = null.right()
+    }
+
+    private inner class Reports : DutyCalls {
+        override suspend fun reportUsage(
+            window: Long,
+            counts: Map<OrganisationId, Long>,
+            holder: DutyHolder,
+            timeout: Duration,
+        ): Either<StoreFailure, Unit> {
+            reports += window to counts
+            val lost = Failure(Step.REPORT_USAGE, Peer.PLATFORM, Effect.UNKNOWN, "no answer")
+            return if (answers) Unit.right() else StoreFailure.Unanswered(lost).left()
+        }
+
+        override suspend fun orderRole(
+            engine: ServingEndpoint,
+            role: EngineRole,
+            holder: DutyHolder,
+            timeout: Duration,
+        ): Either<StoreFailure, Unit> = Unit.right()
+    }
+
+    /** Starts a reporter that counts [count] requests in every window. */
+    private fun TestScope.start(count: Long) {
+        val clock = MonotonicClock { MonotonicTime.ZERO + testScheduler.currentTime.milliseconds }
+        val reporter = UsageReporter(
+            self = InstanceId("a"),
+            held = { HeldLease(FencingNumber(1), clock.now() + 3.seconds).takeIf { isHeld } },
+            store = store,
+            duties = Reports(),
+            counted = { mapOf(theatre to count) },
+            windowLength = 5.seconds,
+            reportWithin = 10.seconds,
+            clock = clock,
+            timeOfDayMilliseconds = { 100_000 + testScheduler.currentTime },
+            log = { },
+        )
+        backgroundScope.launch { reporter.run() }
+    }
+
+    @Nested
+    inner class `while the duty is held` {
+        @Test
+        fun `each window is reported once, well within its time`() = runTest {
+            start(count = 3)
+            testScheduler.advanceTimeBy(30.seconds)
+            assertEquals(reports.map { it.first }.distinct(), reports.map { it.first })
+            assertTrue((20L..24L).all { window -> reports.any { it.first == window } }, "$reports")
+        }
+
+        @Test
+        fun `a report without an answer is repeated with the same figures`() = runTest {
+            answers = false
+            start(count = 3)
+            testScheduler.advanceTimeBy(8.seconds)
+            answers = true
+            testScheduler.advanceTimeBy(2.seconds)
+            val repeated = reports.groupBy({ it.first }, { it.second }).values.first { it.size > 1 }
+            assertEquals(1, repeated.distinct().size)
+        }
+    }
+
+    @Nested
+    inner class `when another instance takes the duty over` {
+        @Test
+        fun `it reports the figures that were fixed, whatever it counted itself`() = runTest {
+            answers = false
+            start(count = 3)
+            testScheduler.advanceTimeBy(8.seconds)
+            val fixed = reports.first()
+            answers = true
+            reports.clear()
+            start(count = 8)
+            testScheduler.advanceTimeBy(1.seconds)
+            assertTrue(reports.filter { it.first == fixed.first }.all { it.second == fixed.second }, "$reports")
+        }
+    }
+
+    @Nested
+    inner class `while another instance holds the duty` {
+        @Test
+        fun `nothing is reported`() = runTest {
+            isHeld = false
+            start(count = 3)
+            testScheduler.advanceTimeBy(30.seconds)
+            assertEquals(emptyList(), reports)
+        }
+    }
+}
