--- a/decisions/src/main/kotlin/org/nutmegspring/roles/StageBalance.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/roles/StageBalance.kt
@@ -5,11 +5,16 @@
 import org.nutmegspring.identity.EndpointId
 import kotlin.math.roundToInt
 
-/** An engine as the balance of roles sees it. */
+/**
+ * An engine as the balance of roles sees it.
+ *
+ * @property isInterruptible whether the platform may take it away at short notice
+ */
 data class BalancedEngine(
     val id: EndpointId,
     val role: EngineRole,
     val dataCentre: DataCentreId,
+    val isInterruptible: Boolean = false,
 )
 
 /** An engine and the role that it should take. */
@@ -24,7 +29,8 @@
  * Load pattern: prompts of thousands of tokens for answers of a few. An engine reads prompts at full speed in the
  * prefill role and at a part of it beside generating, and what it reads there delays the outputs of prompts read
  * elsewhere. So most engines read, and a few generate for all. What is generated binds nothing until the share of
- * generating engines is very small; the least number covers the loss of one.
+ * generating engines is very small; the least number covers the loss of one. Interruptible engines generate only when
+ * there are too few others: a data centre loses them at once, and with them each answer that they generate.
  */
 class StageBalance(
     private val generatorShare: Double = DEFAULT_GENERATOR_SHARE,
@@ -37,12 +43,16 @@
         val generators = engines.filter { it.role == EngineRole.DECODE }
         val readers = engines.filter { it.role == EngineRole.PREFILL }
         return when {
-            generators.size > target + SLACK -> {
-                mostCrowded(generators, generators.size - target).map { RoleChange(it.id, EngineRole.PREFILL) }
+            generators.size > target + maxOf(1, (target * SLACK_SHARE).toInt()) -> {
+                mostCrowded(generators, generators.size - target, interruptible = true).map {
+                    RoleChange(it.id, EngineRole.PREFILL)
+                }
             }
 
             generators.size < minOf(target, leastGenerators) -> {
-                mostCrowded(readers, target - generators.size).map { RoleChange(it.id, EngineRole.DECODE) }
+                mostCrowded(readers, target - generators.size, interruptible = false).map {
+                    RoleChange(it.id, EngineRole.DECODE)
+                }
             }
 
             else -> {
@@ -51,12 +61,13 @@
         }
     }
 
-    /** Takes [count] of [engines], each from the data centre that then has the most of them. */
-    private fun mostCrowded(engines: List<BalancedEngine>, count: Int): List<BalancedEngine> {
+    /** Takes [count] of [engines], [interruptible] ones first, each from the data centre that has the most of them. */
+    private fun mostCrowded(engines: List<BalancedEngine>, count: Int, interruptible: Boolean): List<BalancedEngine> {
         val left = engines.sortedBy { it.id }.toMutableList()
         return List(minOf(count, engines.size)) {
-            val crowded = left.groupingBy { engine -> engine.dataCentre }.eachCount().maxBy { it.value }.key
-            left.first { it.dataCentre == crowded }.also(left::remove)
+            val preferred = left.filter { it.isInterruptible == interruptible }.ifEmpty { left }
+            val crowded = preferred.groupingBy { engine -> engine.dataCentre }.eachCount().maxBy { it.value }.key
+            preferred.first { it.dataCentre == crowded }.also(left::remove)
         }
     }
 
@@ -65,7 +76,10 @@
         const val DEFAULT_GENERATOR_SHARE = 0.2
         const val DEFAULT_LEAST_GENERATORS = 3
 
-        /** An order takes an engine away for seconds; one engine more or less is no reason. */
-        const val SLACK = 1
+        /**
+         * The part by which generating engines may exceed their target. An order takes an engine away for seconds, and
+         * readers that a data centre lost mostly come back within a few times as long.
+         */
+        const val SLACK_SHARE = 0.5
     }
 }
--- a/decisions/src/test/kotlin/org/nutmegspring/roles/StageBalanceSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/roles/StageBalanceSpec.kt
@@ -45,10 +45,29 @@
             assertTrue(balance.changes(engines(readers = 31, generators = 7)).isEmpty())
         }
 
+        @Test
+        fun `the loss of a data centre's readers changes nothing`() {
+            assertTrue(balance.changes(engines(readers = 22, generators = 6)).isEmpty())
+            assertTrue(balance.changes(engines(readers = 16, generators = 6)).isEmpty())
+        }
+
         @Test
         fun `too few are made up`() {
             val after = applied(engines(readers = 10, generators = 1))
             assertEquals(3, after.count { it.role == EngineRole.DECODE })
         }
     }
+
+    @Nested
+    inner class `when a data centre may lose its interruptible engines at once` {
+        @Test
+        fun `the steady ones generate`() {
+            val all = List(20) { index ->
+                val dataCentre = DataCentreId("dc${index % 4}")
+                BalancedEngine(EndpointId("e$index"), EngineRole.DECODE, dataCentre, isInterruptible = index >= 4)
+            }
+            val generators = applied(all).filter { it.role == EngineRole.DECODE }
+            assertEquals(4, generators.count { !it.isInterruptible }, "$generators")
+        }
+    }
 }
--- /dev/null
+++ b/decisions/src/test/kotlin/org/nutmegspring/spending/FleetOrdersSpec.kt
@@ -0,0 +1,111 @@
+package org.nutmegspring.spending
+
+import org.junit.jupiter.api.Nested
+import org.nutmegspring.identity.DataCentreId
+import org.nutmegspring.time.MonotonicTime
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+class FleetOrdersSpec {
+    private val rennes = DataCentreId("rennes")
+    private val brest = DataCentreId("brest")
+    private val targets = listOf(rennes, brest).associateWith { EndpointCounts(1, 6) }
+    private val orders = FleetOrders(most = 7, startUp = 4.seconds)
+    private val start = MonotonicTime.ZERO
+
+    private fun due(
+        standing: Map<DataCentreId, EndpointCounts>,
+        now: MonotonicTime,
+        isTaken: Boolean = true,
+    ): List<CountOrder> = orders.due(targets, standing, now).onEach { orders.sent(it, isTaken, now) }
+
+    private fun standing(steady: Int, interruptible: Int) =
+        listOf(rennes, brest).associateWith { EndpointCounts(steady, interruptible) }
+
+    @Nested
+    inner class `at the start` {
+        @Test
+        fun `as many interruptible endpoints are ordered as there is room for`() {
+            val due = due(standing(5, 0), start)
+            assertEquals(setOf(CountOrder(rennes, true, 2), CountOrder(brest, true, 2)), due.toSet())
+        }
+
+        @Test
+        fun `steady ones are given back when those serve, and the rest is ordered in their place`() {
+            due(standing(5, 0), start)
+            assertEquals(emptyList(), due(standing(5, 1), start + 4.seconds))
+            assertEquals(emptyList(), due(standing(5, 2), start + 5.seconds))
+            val givenBack = due(standing(5, 2), start + 7.seconds)
+            assertEquals(setOf(CountOrder(rennes, false, 1), CountOrder(brest, false, 1)), givenBack.toSet())
+            val rest = due(standing(1, 2), start + 8.seconds)
+            assertEquals(setOf(CountOrder(rennes, true, 6), CountOrder(brest, true, 6)), rest.toSet())
+        }
+
+        @Test
+        fun `a data centre that got none keeps its steady ones`() {
+            due(standing(5, 0), start)
+            val standing = standing(5, 0) + (brest to EndpointCounts(5, 2))
+            due(standing, start + 5.seconds)
+            val due = due(standing, start + 7.seconds)
+            assertEquals(listOf(CountOrder(brest, false, 1)), due)
+        }
+    }
+
+    @Nested
+    inner class `while the first orders are carried out` {
+        @Test
+        fun `the fleet grows until it stands, or for a bounded time`() {
+            assertFalse(orders.isGrowing(targets, standing(5, 0), start))
+            due(standing(5, 0), start)
+            assertTrue(orders.isGrowing(targets, standing(5, 3), start + 4.seconds))
+            assertFalse(orders.isGrowing(targets, standing(1, 6), start + 5.seconds))
+            assertFalse(orders.isGrowing(targets, standing(5, 3), start + 12.seconds))
+        }
+    }
+
+    @Nested
+    inner class `when endpoints are replaced one by one` {
+        @Test
+        fun `nothing is ordered although one more stands for a while`() {
+            due(standing(1, 0), start)
+            assertEquals(emptyList(), due(standing(1, 7), start + 6.seconds))
+            assertEquals(emptyList(), due(standing(2, 6), start + 7.seconds))
+            assertEquals(emptyList(), due(standing(1, 6), start + 8.seconds))
+            assertEquals(emptyList(), due(standing(2, 6), start + 9.seconds))
+        }
+    }
+
+    @Nested
+    inner class `when the platform does not take an order` {
+        @Test
+        fun `steady endpoints are given back by a later one`() {
+            due(standing(1, 0), start)
+            due(standing(5, 6), start + 5.seconds)
+            assertEquals(2, due(standing(5, 6), start + 7.seconds, isTaken = false).size)
+            assertEquals(0, due(standing(5, 6), start + 8.seconds).size)
+            assertEquals(2, due(standing(5, 6), start + 18.seconds).size)
+        }
+    }
+
+    @Nested
+    inner class `when a data centre took its interruptible endpoints away` {
+        private val taken = mapOf(rennes to EndpointCounts(1, 0), brest to EndpointCounts(1, 6))
+
+        @Test
+        fun `they are ordered again after a pause, not at each check`() {
+            due(standing(1, 0), start)
+            assertEquals(emptyList(), due(taken, start + 5.seconds))
+            assertEquals(listOf(CountOrder(rennes, true, 6)), due(taken, start + 10.seconds))
+            assertEquals(emptyList(), due(taken, start + 11.seconds))
+        }
+
+        @Test
+        fun `a lost steady endpoint is ordered at once`() {
+            val lost = standing(1, 6) + (rennes to EndpointCounts(0, 6))
+            assertEquals(listOf(CountOrder(rennes, false, 1)), due(lost, start))
+        }
+    }
+}
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/configuration/ServingConfiguration.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/configuration/ServingConfiguration.kt
@@ -3,6 +3,7 @@
 import org.nutmegspring.identity.OrganisationId
 import org.nutmegspring.identity.ServiceId
 import org.nutmegspring.quota.QuotaRate
+import org.nutmegspring.spending.ScalingTerms
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -94,10 +95,16 @@
     val linkMegabitsPerSecond: Double,
 )
 
-/** A service behind the system. [engines] is null for a plain service. */
+/**
+ * A service behind the system.
+ *
+ * @property engines what its engines can do, null for a plain service
+ * @property scaling how many endpoints may be ordered, null when none may
+ */
 data class ServiceDefinition(
     val id: ServiceId,
     val engines: EngineAbilities?,
+    val scaling: ScalingTerms? = null,
 )
 
 /** How the requests of an organisation are charged to its quota. */
--- /dev/null
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/EndpointOrderer.kt
@@ -0,0 +1,77 @@
+package org.nutmegspring.gateway.duties
+
+import kotlinx.coroutines.delay
+import org.nutmegspring.gateway.configuration.ServiceDefinition
+import org.nutmegspring.gateway.endpoints.EndpointState
+import org.nutmegspring.gateway.endpoints.EndpointTable
+import org.nutmegspring.gateway.store.EndpointOrder
+import org.nutmegspring.identity.DataCentreId
+import org.nutmegspring.identity.ServiceId
+import org.nutmegspring.platform.ListedState
+import org.nutmegspring.spending.CountOrder
+import org.nutmegspring.spending.EndpointCounts
+import org.nutmegspring.spending.FleetOrders
+import org.nutmegspring.spending.FleetSizing
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Orders endpoints of the services that may be scaled, while this instance holds the duty.
+ *
+ * @param services the services of the newest configuration
+ */
+class EndpointOrderer(
+    private val caller: DutyCaller,
+    private val services: () -> Collection<ServiceDefinition>,
+    private val endpoints: EndpointTable,
+    private val sizing: FleetSizing,
+) {
+    private val orders = HashMap<ServiceId, FleetOrders>()
+
+    /** Orders what the sizing asks for until the coroutine is cancelled. */
+    suspend fun run(): Nothing {
+        while (true) {
+            delay(CHECK_EVERY)
+            if (caller.isHolding && endpoints.isListed) services().forEach { order(it) }
+        }
+    }
+
+    /** Whether endpoints of [service] were just ordered and most are still to come or to go. */
+    fun isGrowing(service: ServiceId): Boolean {
+        val terms = services().find { it.id == service }?.scaling ?: return false
+        val standing = standing(service)
+        val targets = sizing.targets(terms, standing.keys) ?: return false
+        return orders[service]?.isGrowing(targets, standing, caller.clock.now()) ?: false
+    }
+
+    private suspend fun order(service: ServiceDefinition) {
+        val terms = service.scaling ?: return
+        val standing = standing(service.id)
+        val targets = sizing.targets(terms, standing.keys) ?: return
+        val ofService = orders.getOrPut(service.id) { FleetOrders(terms.most, terms.startUp) }
+        ofService.due(targets, standing, caller.clock.now()).forEach { order ->
+            ofService.sent(order, send(service.id, order), caller.clock.now())
+        }
+    }
+
+    /** Counts the endpoints of [service] that take work, by data centre, also where all are about to leave. */
+    private fun standing(service: ServiceId): Map<DataCentreId, EndpointCounts> =
+        endpoints.all().filter { it.endpoint.service == service }
+            .groupBy { it.endpoint.dataCentre }
+            .mapValues { (_, here) -> here.filter { it.endpoint.state == ListedState.LIVE }.counts() }
+
+    private fun List<EndpointState>.counts(): EndpointCounts {
+        val interruptible = count { it.endpoint.isInterruptible }
+        return EndpointCounts(size - interruptible, interruptible)
+    }
+
+    private suspend fun send(service: ServiceId, order: CountOrder): Boolean {
+        val kind = if (order.isInterruptible) "interruptible" else "steady"
+        val subject = "${order.count} $kind of $service in ${order.dataCentre}"
+        val call = EndpointOrder(service, order.dataCentre, order.isInterruptible, order.count)
+        return caller.call("endpoints", subject) { holder, timeout -> orderEndpoints(call, holder, timeout) }
+    }
+
+    private companion object {
+        val CHECK_EVERY = 500.milliseconds
+    }
+}
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/UsageReporter.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/UsageReporter.kt
@@ -3,19 +3,12 @@
 import arrow.core.Either
 import kotlinx.coroutines.delay
 import kotlinx.serialization.Serializable
-import org.nutmegspring.gateway.observe.DecisionEvent
-import org.nutmegspring.gateway.observe.DecisionLog
-import org.nutmegspring.gateway.store.DutyCalls
-import org.nutmegspring.gateway.store.DutyHolder
-import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.identity.OrganisationId
-import org.nutmegspring.lease.HeldLease
 import org.nutmegspring.node.control.StoredValues
 import org.nutmegspring.platform.ObjectKey
 import org.nutmegspring.platform.ObjectStore
 import org.nutmegspring.platform.StoreFailure
 import org.nutmegspring.platform.WriteCondition
-import org.nutmegspring.time.MonotonicClock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -33,16 +26,12 @@
  * @param reportWithin in which time after its end a window has to be reported
  */
 class UsageReporter(
-    private val self: InstanceId,
-    private val held: () -> HeldLease?,
+    private val caller: DutyCaller,
     store: ObjectStore,
-    private val duties: DutyCalls,
     private val counted: (Long) -> Map<OrganisationId, Long>,
     private val windowLength: Duration,
     private val reportWithin: Duration,
-    private val clock: MonotonicClock,
     private val timeOfDayMilliseconds: () -> Long,
-    private val log: DecisionLog,
 ) {
     private val windows = StoredValues(store, ClosedWindow.serializer())
     private var nextWindow = 0L
@@ -51,7 +40,7 @@
     suspend fun run(): Nothing {
         while (true) {
             delay(CHECK_EVERY)
-            if (held() != null) reportDue()
+            if (caller.isHolding) reportDue()
         }
     }
 
@@ -70,13 +59,9 @@
     /** Reports [window]. Returns whether the platform took the report. */
     private suspend fun report(window: Long): Boolean {
         val figures = close(window) ?: return false
-        val lease = held() ?: return false
-        if (!lease.covers(clock.now(), CALL_TIMEOUT)) return false
-        val holder = DutyHolder(self, lease.fencing)
-        val reported = duties.reportUsage(window, figures.counts, holder, CALL_TIMEOUT)
-        val outcome = reported.fold({ it.toString() }, { "accepted" })
-        log.record(DecisionEvent.DutyCall("usage", "window $window ${figures.counts}", lease.fencing, outcome))
-        return reported.isRight()
+        return caller.call("usage", "window $window ${figures.counts}") { holder, timeout ->
+            reportUsage(window, figures.counts, holder, timeout)
+        }
     }
 
     /** Fixes the figures of [window], or returns those that were fixed before. */
@@ -99,8 +84,5 @@
 
         /** Counts of other instances arrive within an exchange or two; clocks differ by less. */
         val SETTLING = 2500.milliseconds
-
-        /** Well below the lease, so that a call has ended before another instance may hold it. */
-        val CALL_TIMEOUT = 800.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
@@ -42,13 +42,36 @@
     /** Until when the endpoint is used although its entry has lapsed, or null while the entry stands. */
     var lapsesAt: MonotonicTime? = null
 
+    private var refusals = 0
+    private var avoidedUntil: MonotonicTime? = null
+
     /** Whether another endpoint answered at the address. */
     var isMisdirected = false
 
+    /** Whether the endpoint refuses work at [now], as far as is known, while others may take it. */
+    fun isAvoided(now: MonotonicTime): Boolean = avoidedUntil?.let { now < it } ?: false
+
+    /**
+     * Records that the endpoint refused work at [now]. One refusal may lie in the request; after several in a row the
+     * endpoint is left out for a while.
+     */
+    fun refused(now: MonotonicTime) {
+        refusals++
+        if (refusals >= REFUSALS_TO_AVOID) avoid(now + REFUSAL_PAUSE)
+    }
+
+    /** Leaves the endpoint out until [until], unless it changes before. */
+    fun avoid(until: MonotonicTime) {
+        avoidedUntil = maxOf(avoidedUntil ?: until, until)
+    }
+
     /** Takes over a changed description. A process that started anew holds nothing of before. */
     fun describe(changed: ServingEndpoint) {
         if (changed.bornAt != endpoint.bornAt || changed.address != endpoint.address) belief.clear()
-        if (changed != endpoint) isMisdirected = false
+        if (changed != endpoint) {
+            isMisdirected = false
+            avoidedUntil = null
+        }
         endpoint = changed
         lapsesAt = null
     }
@@ -69,6 +92,7 @@
         slowdown = currentSlowdown(now) * (1 - SLOWDOWN_WEIGHT) + ratio * SLOWDOWN_WEIGHT
         slowdownAt = now
         lastAnswerAt = now
+        refusals = 0
     }
 
     /** Returns the requests of all instances at the endpoint. */
@@ -113,6 +137,12 @@
             trialTimeout = 1.seconds,
         )
 
+        /** A request that can't be carried out is refused at one engine after the other, by each once. */
+        const val REFUSALS_TO_AVOID = 2
+
+        /** A full or changing engine is tried again after about the time of a request. */
+        val REFUSAL_PAUSE = 250.milliseconds
+
         /** Several exchanges; later the work told of has ended. */
         val PEER_LOAD_LIFETIME = 1.seconds
         val SHORTEST_EXPECTATION = 20.milliseconds
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointTable.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointTable.kt
@@ -44,13 +44,17 @@
     /** Returns all endpoints. */
     fun all(): Collection<EndpointState> = states.values
 
-    /** Returns the endpoints of [service] that take new work at [now]. Failing ones only when there are no others. */
+    /**
+     * Returns the endpoints of [service] that take new work at [now]. Those that refuse work for a while, and failing
+     * ones, only when there are no others.
+     */
     fun usable(service: ServiceId, now: MonotonicTime, excluded: Set<EndpointId> = emptySet()): List<EndpointState> {
         val live = states.values.filter {
             it.endpoint.service == service && it.endpoint.state == ListedState.LIVE && !it.isMisdirected &&
                 it.endpoint.id !in excluded && (it.lapsesAt?.let { until -> now < until } ?: true)
         }
-        return live.filter { it.health.permits(now) }.ifEmpty { live }
+        val permitted = live.filter { it.health.permits(now) }.ifEmpty { live }
+        return permitted.filter { !it.isAvoided(now) }.ifEmpty { permitted }
     }
 
     /**
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/ServingEndpoint.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/ServingEndpoint.kt
@@ -12,6 +12,7 @@
  * @property address `host:port` with an IP number
  * @property slots requests that it runs at once
  * @property role the part of the work that an engine accepts, null for a plain service
+ * @property isInterruptible whether the platform may take it away at short notice
  * @property bornAt the start of the process, in milliseconds since the epoch; an id may be used again
  */
 data class ServingEndpoint(
@@ -23,4 +24,5 @@
     val state: ListedState,
     val role: EngineRole?,
     val bornAt: Long?,
+    val isInterruptible: Boolean = false,
 )
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
@@ -19,18 +19,31 @@
     /** Whether the answer reports success. */
     val isSuccess: Boolean get() = status in SUCCESS
 
+    /** Whether the status tells a caller that nothing ran, which the endpoint's own does not without its proof. */
+    val isPromise: Boolean get() = status in PROMISING
+
     private companion object {
         val SUCCESS = 200..299
+        val PROMISING = setOf(408, 421, 429, 503)
     }
 }
 
+/** Why an endpoint states that it did not run a request. */
+enum class EndpointRefusal {
+    /** It takes no such work now. */
+    BUSY,
+
+    /** Another endpoint has the address. */
+    OTHER_ENDPOINT,
+}
+
 /** How the sending of a request to one endpoint began. */
 sealed interface AttemptStart {
     /** The endpoint answers; [answer] has to be closed. */
     class Answering(val head: AnswerHead, val answer: OpenAnswer) : AttemptStart
 
-    /** The endpoint did not run the request, or did not answer. */
-    class Failed(val failure: Failure) : AttemptStart
+    /** The endpoint did not run the request, or did not answer. [refusal] is null unless it stated why. */
+    class Failed(val failure: Failure, val refusal: EndpointRefusal? = null) : AttemptStart
 }
 
 /** Sends requests to endpoints and reads the heads of their answers. */
@@ -64,7 +77,7 @@
                     val head = AnswerHead(part.status, part.headers, dialect.readAnswer(part.status, part.headers))
                     if (head.facts.hasNotRun || head.facts.isOtherEndpoint) {
                         drain(answer)
-                        AttemptStart.Failed(notRun(dispatch, head))
+                        refused(dispatch, head)
                     } else {
                         isHanded = true
                         AttemptStart.Answering(head, answer)
@@ -92,9 +105,14 @@
         }
     }
 
-    private fun notRun(dispatch: Dispatch, head: AnswerHead): Failure {
-        val reason = if (head.facts.isOtherEndpoint) "another endpoint has the address" else "refused by the endpoint"
-        return Failure(Step.READ_ANSWER, peer(dispatch), Effect.NOT_RUN, "$reason (status ${head.status})")
+    private fun refused(dispatch: Dispatch, head: AnswerHead): AttemptStart.Failed {
+        val refusal = if (head.facts.isOtherEndpoint) EndpointRefusal.OTHER_ENDPOINT else EndpointRefusal.BUSY
+        val reason = when (refusal) {
+            EndpointRefusal.BUSY -> "refused by the endpoint"
+            EndpointRefusal.OTHER_ENDPOINT -> "another endpoint has the address"
+        }
+        val failure = Failure(Step.READ_ANSWER, peer(dispatch), Effect.NOT_RUN, "$reason (status ${head.status})")
+        return AttemptStart.Failed(failure, refusal)
     }
 
     private fun unknown(dispatch: Dispatch, reason: String) =
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
@@ -48,6 +48,7 @@
 
     /** Has the prompt read where [plan] says so, and returns where the request is sent next. */
     suspend fun prepare(run: RequestRun, plan: EnginePlan): Preparation {
+        run.unfetched?.let { return generate(run, it) }
         val reader = endpoints.state(plan.reader.id) ?: return Preparation.Again
         return when (plan) {
             is EnginePlan.Direct -> Preparation.Ready(prepared(run, reader, DispatchStage.Whole, plan))
@@ -59,18 +60,26 @@
         if (run.prefillCalls > 0 && !retries.take(run.admitted.service)) {
             return Preparation.Impossible("the budget for trying again is spent")
         }
-        val handle = prefill(run, reader, plan)
-        if (handle == null) {
+        val read = prefill(run, reader, plan)
+        if (read == null) {
             run.tried += reader.endpoint.id
             return Preparation.Again
         }
-        val generator = placement(run).generator(work(run), candidates(run), plan.reader)?.let(endpoints::state)
+        return generate(run, ReadPrompt(reader, read.handle, plan))
+    }
+
+    /** Chooses the engine that goes on from [read]. */
+    private suspend fun generate(run: RequestRun, read: ReadPrompt): Preparation {
+        val generator =
+            placement(run).generator(work(run), candidates(run), read.plan.reader)?.let(endpoints::state)
         if (generator == null) {
-            sender.free(reader, handle.handle)
+            sender.free(read.reader, read.handle)
             return Preparation.Impossible("no engine generates")
         }
-        val stage = DispatchStage.Generate(reader.endpoint.address, handle.handle)
-        return Preparation.Ready(prepared(run, generator, stage, plan))
+        // A handle that two engines refuse is gone.
+        run.unfetched = if (run.unfetched == null) read else null
+        val stage = DispatchStage.Generate(read.reader.endpoint.address, read.handle)
+        return Preparation.Ready(prepared(run, generator, stage, read.plan))
     }
 
     private fun candidates(run: RequestRun): List<EngineCandidate> {
@@ -86,16 +95,29 @@
         return EngineTicket(clock, prepared.engine, prepared.expected, prepared.unreadTokens)
     }
 
-    /** Records that [prepared] completed a request. */
-    fun succeeded(prepared: PreparedEngine) = prepared.engine.health.succeeded()
+    /** Records that [prepared] completed [run]. */
+    fun succeeded(run: RequestRun, prepared: PreparedEngine) {
+        run.unfetched = null
+        prepared.engine.health.succeeded()
+    }
+
+    /** Frees what an engine read for [run] and no other fetched. */
+    suspend fun release(run: RequestRun) {
+        val read = run.unfetched ?: return
+        run.unfetched = null
+        sender.free(read.reader, read.handle)
+    }
 
-    /** Records that [prepared] failed. */
-    fun failed(prepared: PreparedEngine, failure: Failure, run: RequestRun) {
-        if (failure.message.startsWith("another endpoint")) prepared.engine.isMisdirected = true
-        if (failure.effect == Effect.UNKNOWN || failure.step == Step.CONNECT) {
-            prepared.engine.health.failed(clock.now())
+    /** Records that [prepared] failed, [refusal] when it stated that it did not run the request. */
+    fun failed(run: RequestRun, prepared: PreparedEngine, failure: Failure, refusal: EndpointRefusal?) {
+        val engine = prepared.engine
+        when (refusal) {
+            EndpointRefusal.OTHER_ENDPOINT -> engine.isMisdirected = true
+            EndpointRefusal.BUSY -> engine.refused(clock.now())
+            null -> run.unfetched = null
         }
-        if (prepared.stage is DispatchStage.Generate) run.tried.remove(prepared.engine.endpoint.id)
+        if (failure.effect == Effect.UNKNOWN || failure.step == Step.CONNECT) engine.health.failed(clock.now())
+        if (prepared.stage is DispatchStage.Generate && run.unfetched == null) run.tried.remove(engine.endpoint.id)
     }
 
     /** Returns and forgets the prompts that engines were given to read since the last call. */
@@ -135,7 +157,10 @@
         val dispatch = run.dispatch(reader, DispatchStage.Prefill, null)
         return when (val started = sender.send(run.exchange.call, dispatch, mayReuse = true)) {
             is AttemptStart.Failed -> {
-                if (started.failure.effect == Effect.NOT_RUN && started.failure.step != Step.CONNECT) ticket.refused()
+                if (started.refusal != null) {
+                    ticket.refused()
+                    reader.refused(clock.now())
+                }
                 run.failed(reader, started.failure.copy(effect = Effect.NOT_RUN))
                 null
             }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/RequestRun.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/RequestRun.kt
@@ -15,6 +15,7 @@
 import org.nutmegspring.gateway.wire.DispatchStage
 import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.identity.RequestId
+import org.nutmegspring.placement.EnginePlan
 import org.nutmegspring.time.MonotonicClock
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration
@@ -34,6 +35,9 @@
     data class BrokenOff(val reason: String) : RunEnd
 }
 
+/** A prompt that [reader] holds under [handle] until it is fetched. */
+class ReadPrompt(val reader: EndpointState, val handle: String, val plan: EnginePlan.Handover)
+
 /** One request on its way through the gateway, with what its attempts have in common. */
 class RequestRun(
     /** The request. */
@@ -54,6 +58,9 @@
     /** How often an engine was asked to read the prompt. */
     var prefillCalls = 0
 
+    /** The prompt that an engine has read and that no other has fetched yet, as far as is known. */
+    var unfetched: ReadPrompt? = null
+
     /** Whether an endpoint may have begun to run the request. */
     var mayHaveRun = false
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/ServiceForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/ServiceForwarder.kt
@@ -31,7 +31,7 @@
     private sealed interface Outcome {
         class Answered(val answer: WholeAnswer) : Outcome
 
-        class Failed(val failure: Failure) : Outcome
+        class Failed(val failure: Failure, val refusal: EndpointRefusal? = null) : Outcome
     }
 
     /** Serves [run]. */
@@ -94,7 +94,7 @@
         val mayReuse = run.admitted.route.kind.isRepeatable || endpoint.health.permits(clock.now())
         return when (val started = sender.send(run.exchange.call, dispatch, mayReuse)) {
             is AttemptStart.Failed -> {
-                Outcome.Failed(started.failure)
+                Outcome.Failed(started.failure, started.refusal)
             }
 
             is AttemptStart.Answering -> {
@@ -132,7 +132,7 @@
             }
 
             is Outcome.Failed -> {
-                if (outcome.failure.message.startsWith("another endpoint")) endpoint.isMisdirected = true
+                if (outcome.refusal == EndpointRefusal.OTHER_ENDPOINT) endpoint.isMisdirected = true
                 endpoint.health.failed(now)
             }
         }
@@ -147,7 +147,7 @@
     }
 
     private fun deliver(run: RequestRun, answer: WholeAnswer): RunEnd {
-        val isPromise = answer.head.status in PROMISING_STATUSES
+        val isPromise = answer.head.isPromise
         val isUnsignedSuccess = answer.head.isSuccess && !answer.head.facts.isSigned
         if (isPromise || isUnsignedSuccess) {
             run.mayHaveRun = true
@@ -167,9 +167,6 @@
     private companion object {
         const val FIRST_SERVER_ERROR = 500
 
-        /** Statuses by which a caller knows that nothing ran; an endpoint's own do not say so without its proof. */
-        val PROMISING_STATUSES = setOf(408, 421, 429, 503)
-
         /** An answer usually takes about this part of the objective. */
         const val USUAL_OBJECTIVE_SHARE = 0.3
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -43,8 +43,14 @@
         var last: RunEnd = RunEnd.NotRun("no engine can take the request", RETRY_PAUSE)
         while (true) {
             when (val next = nextAttempt(run, progress, last)) {
-                is Next.Ended -> return next.end
-                is Next.Again -> last = next.end
+                is Next.Ended -> {
+                    choice.release(run)
+                    return next.end
+                }
+
+                is Next.Again -> {
+                    last = next.end
+                }
             }
         }
     }
@@ -135,7 +141,7 @@
             }
             return when (started) {
                 null -> failed(run, prepared, run.timedOut(engine.endpoint.address))
-                is AttemptStart.Failed -> failed(run, prepared, started.failure)
+                is AttemptStart.Failed -> failed(run, prepared, started.failure, started.refusal)
                 is AttemptStart.Answering -> pump(run, prepared, progress, started, ticket)
             }
         } finally {
@@ -176,7 +182,7 @@
             if (events.hasPartialEvent) passRest(run, progress, head, events.rest())
             if (!progress.isStarted) start(run, progress, head)
             run.exchange.finish()
-            choice.succeeded(prepared)
+            choice.succeeded(run, prepared)
             AttemptEnd.Delivered(head.status)
         }
 
@@ -245,8 +251,7 @@
                 )
             }
         }
-        val isPromise = started.head.status in PROMISING_STATUSES
-        if (progress.isStarted || isPromise || started.head.isSuccess) {
+        if (progress.isStarted || started.head.isPromise || started.head.isSuccess) {
             return failed(run, prepared, broken(prepared, "answered ${started.head.status} without proof"))
         }
         run.exchange.respond(started.head.status, started.head.headers.withoutHopHeaders(), body.whole())
@@ -264,8 +269,13 @@
         }
     }
 
-    private fun failed(run: RequestRun, prepared: PreparedEngine, failure: Failure): AttemptEnd {
-        choice.failed(prepared, failure, run)
+    private fun failed(
+        run: RequestRun,
+        prepared: PreparedEngine,
+        failure: Failure,
+        refusal: EndpointRefusal? = null,
+    ): AttemptEnd {
+        choice.failed(run, prepared, failure, refusal)
         return AttemptEnd.Failed(failure)
     }
 
@@ -279,9 +289,6 @@
     }
 
     private companion object {
-        /** Statuses by which a caller knows that nothing ran; an engine's own do not say so without its proof. */
-        val PROMISING_STATUSES = setOf(408, 421, 429, 503)
-
         /** An engine that is full has room again after about one request. */
         val RETRY_PAUSE = 150.milliseconds
     }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -106,7 +106,7 @@
         connections.forget(endpoint.address)
         log.record(DecisionEvent.EndpointChanged(endpoint, change))
     }
-    private val counts = WindowCounts(windowLength(initial).inWholeMilliseconds)
+    private val counts = WindowCounts(initial.bounds.usageWindow.inWholeMilliseconds)
     private val usage = UsageCounter(counts)
     private val sender = EndpointSender(connections, platform.dialect)
     private val retries = ServiceRetries(clock, ::retryBounds) { peers.registered.size + 1 }
@@ -115,19 +115,21 @@
     private var phase = InstancePhase.JOINING
     private var sequence = 0L
     private val servers = mutableListOf<HttpServer>()
-    private val usageDuty = Duty.UsageWindows(0)
-    private val lease = LeaseKeeper(
-        duty = usageDuty,
-        self = LeaseHolder(self, incarnation),
-        store = platform.store,
-        clock = clock,
-        rules = LeaseRules(
-            LeaseTiming(duration = initial.bounds.leaseMilliseconds.milliseconds, renewEvery = RENEW_EVERY),
+    private val duties = InstanceDuties(
+        initial,
+        LeaseHolder(self, incarnation),
+        platform,
+        DutyInputs(
+            phase = { phase },
+            readyPeers = { peers.ready(clock.now()) },
+            services = { current.configuration?.services?.values.orEmpty() },
+            counted = ::countedIn,
+            endpoints = endpoints,
         ),
-        wish = ::dutyWish,
-        // A lease that ran out leaves time between the calls of two holders; one given up would not.
-        mayRelease = { false },
+        clock,
+        log,
     )
+    private val reports = PeerReports(self, peers, quotas, endpoints, clock)
 
     private fun cacheCapacity(service: org.nutmegspring.identity.ServiceId): Long =
         current.configuration?.services?.get(service)?.engines?.cacheCapacityTokens ?: DEFAULT_CACHE_TOKENS
@@ -145,7 +147,7 @@
         )
         listen(settings.addresses.metrics, PlainServerLimits, metricsHandler(metrics::scrape))
         registerGauges()
-        val exchange = PeerExchange(loop, settings.addresses.exchange, ::hear) {
+        val exchange = PeerExchange(loop, settings.addresses.exchange, reports::hear) {
             log.record(DecisionEvent.PassedOver("a report of an instance", it))
         }
         follow(platform.configurations, ConfigurationListener(current, quotas, log), CONFIGURATION_WAIT)
@@ -154,13 +156,7 @@
         scope.launch { register() }
         scope.launch { exchange.run({ peers.registered.values.map { it.exchangeAddress } }, ::report) }
         scope.launch { tick() }
-        if (settings.bounds.usageWindowSeconds > 0 && settings.platform.duties.isNotEmpty()) {
-            scope.launch { lease.run() }
-            scope.launch { usageReporter().run() }
-            scope.launch {
-                RoleOrderer(self, ::heldLease, endpoints, platform.duties, StageBalance(), clock, log).run()
-            }
-        }
+        duties.start(scope)
     }
 
     /** Takes changed settings. Addresses and the name of the instance stay as they were at the start. */
@@ -222,30 +218,6 @@
         scope.launch { FeedFollower(feed, listener, clock, wait, random).run() }
     }
 
-    private fun usageReporter() = UsageReporter(
-        self = self,
-        held = ::heldLease,
-        store = platform.store,
-        duties = platform.duties,
-        counted = ::countedIn,
-        windowLength = windowLength(settings),
-        reportWithin = settings.bounds.usageReportSeconds.seconds,
-        clock = clock,
-        timeOfDayMilliseconds = System::currentTimeMillis,
-        log = log,
-    )
-
-    private var reportedLease: HeldLease? = null
-
-    private fun heldLease(): HeldLease? {
-        val held = lease.held()
-        if (held?.fencing != reportedLease?.fencing) {
-            log.record(DecisionEvent.DutyChanged(usageDuty.key.value, held != null, held?.fencing))
-            reportedLease = held
-        }
-        return held
-    }
-
     private fun countedIn(window: Long): Map<OrganisationId, Long> {
         val sums = HashMap<OrganisationId, Long>()
         (peers.usage(window) + listOfNotNull(usage.snapshot()[window])).forEach { part ->
@@ -254,12 +226,6 @@
         return sums
     }
 
-    private fun dutyWish(): LeaseWish {
-        if (phase != InstancePhase.READY) return LeaseWish.NONE
-        val live = peers.live(clock.now()).filter { it.phase == InstancePhase.READY }.map { it.instance }
-        return DutyPlacement.wish(usageDuty, self, live.toSet() + self)
-    }
-
     private fun decodeRecord(text: String): InstanceRecord? = try {
         json.decodeFromString(InstanceRecord.serializer(), text)
     } catch (unreadable: SerializationException) {
@@ -297,19 +263,6 @@
         }
     }
 
-    private fun hear(report: PeerReport) {
-        val now = clock.now()
-        if (report.instance == self || !peers.hear(report, now)) return
-        quotas.heard(report)
-        report.loads.forEach { load ->
-            endpoints.state(load.endpoint)?.heard(report.instance, load.waitingTokens, load.requests, now)
-        }
-        report.promptsRead.forEach { prompt ->
-            val chain = prompt.chainHashes.zip(prompt.tokens, ::PromptPart)
-            endpoints.state(prompt.engine)?.reads(chain)
-        }
-    }
-
     private fun report(): PeerReport = PeerReport(
         instance = self,
         incarnation = incarnation,
@@ -320,23 +273,13 @@
         phase = phase,
         configurationVersion = current.configuration?.version ?: 0,
         evidenceAgeMilliseconds = current.evidence.age(clock.now())?.inWholeMilliseconds,
+        changingEngines = duties.changingEngines(),
         charges = quotas.charges(),
-        loads = ownLoads(),
+        loads = reports.ownLoads(),
         promptsRead = choice.takePromptsRead(),
         windows = usage.snapshot().map { (window, counted) -> WindowReport(window, counted) },
     )
 
-    private var toldIdle: Set<EndpointId> = emptySet()
-
-    /** Returns the own work at endpoints, and once more those where it has just ended. */
-    private fun ownLoads(): List<EndpointLoadReport> {
-        val busy = endpoints.all().filter { it.own.requests > 0 }
-        val ended = toldIdle - busy.map { it.endpoint.id }.toSet()
-        toldIdle = busy.map { it.endpoint.id }.toSet()
-        return busy.map { EndpointLoadReport(it.endpoint.id, it.own.waitingTokens, it.own.requests) } +
-            ended.map { EndpointLoadReport(it, 0, 0) }
-    }
-
     private fun isReady(): Boolean = phase == InstancePhase.READY &&
         current.evidence.isYoungerThan(settings.bounds.revocationMilliseconds.milliseconds, clock.now())
 
@@ -364,7 +307,7 @@
         metrics.gauge("gateway_endpoints") { endpoints.all().size.toDouble() }
         metrics.gauge("gateway_live_peers") { peers.live(clock.now()).size.toDouble() }
         metrics.gauge("gateway_connections_opened") { connections.opened.toDouble() }
-        metrics.gauge("gateway_duty_held") { if (lease.held() != null) 1.0 else 0.0 }
+        metrics.gauge("gateway_duty_held") { if (duties.isHolding) 1.0 else 0.0 }
     }
 
     private inner class CallerServerLimits : ServerLimits {
@@ -397,7 +340,6 @@
         /** A silent connection to the store is noticed after this and a margin, before an endpoint has to be left. */
         val ENDPOINT_WAIT = 1000.milliseconds
         val INSTANCE_WAIT = 10.seconds
-        val RENEW_EVERY = 1.seconds
         val REGISTER_PAUSE = 300.milliseconds
         val TICK = 100.milliseconds
 
@@ -419,9 +361,6 @@
         const val DEFAULT_CACHE_TOKENS = 500_000L
         const val MAXIMUM_HEADER_BYTES = 32_768
         const val MILLISECONDS_PER_SECOND = 1000.0
-
-        fun windowLength(settings: GatewaySettings): Duration =
-            if (settings.bounds.usageWindowSeconds > 0) settings.bounds.usageWindowSeconds.seconds else 5.seconds
     }
 }
 
--- /dev/null
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceDuties.kt
@@ -0,0 +1,116 @@
+package org.nutmegspring.gateway.instance
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.nutmegspring.gateway.configuration.ServiceDefinition
+import org.nutmegspring.gateway.duties.DutyCaller
+import org.nutmegspring.gateway.duties.EndpointOrderer
+import org.nutmegspring.gateway.duties.RoleOrderer
+import org.nutmegspring.gateway.duties.UsageReporter
+import org.nutmegspring.gateway.endpoints.EndpointTable
+import org.nutmegspring.gateway.observe.DecisionEvent
+import org.nutmegspring.gateway.observe.DecisionLog
+import org.nutmegspring.gateway.settings.GatewaySettings
+import org.nutmegspring.gateway.store.PlatformPorts
+import org.nutmegspring.identity.EndpointId
+import org.nutmegspring.identity.InstanceId
+import org.nutmegspring.identity.OrganisationId
+import org.nutmegspring.lease.Duty
+import org.nutmegspring.lease.DutyPlacement
+import org.nutmegspring.lease.HeldLease
+import org.nutmegspring.lease.LeaseHolder
+import org.nutmegspring.lease.LeaseRules
+import org.nutmegspring.lease.LeaseTiming
+import org.nutmegspring.lease.LeaseWish
+import org.nutmegspring.membership.InstancePhase
+import org.nutmegspring.node.control.LeaseKeeper
+import org.nutmegspring.roles.StageBalance
+import org.nutmegspring.spending.FleetSizing
+import org.nutmegspring.time.MonotonicClock
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * What the duties need to know of the instance.
+ *
+ * @property readyPeers the other instances that could take the duties
+ * @property counted the requests of each organisation in a usage window, over all instances
+ */
+internal class DutyInputs(
+    val phase: () -> InstancePhase,
+    val readyPeers: () -> Set<InstanceId>,
+    val services: () -> Collection<ServiceDefinition>,
+    val counted: (Long) -> Map<OrganisationId, Long>,
+    val endpoints: EndpointTable,
+)
+
+/** The duties of which one instance at a time takes care, all under one lease. */
+internal class InstanceDuties(
+    private val settings: GatewaySettings,
+    private val self: LeaseHolder,
+    private val platform: PlatformPorts,
+    private val inputs: DutyInputs,
+    private val clock: MonotonicClock,
+    private val log: DecisionLog,
+) {
+    private val duty = Duty.UsageWindows(0)
+    private val lease = LeaseKeeper(
+        duty = duty,
+        self = self,
+        store = platform.store,
+        clock = clock,
+        rules = LeaseRules(
+            LeaseTiming(duration = settings.bounds.leaseMilliseconds.milliseconds, renewEvery = RENEW_EVERY),
+        ),
+        wish = ::wish,
+        // A lease that ran out leaves time between the calls of two holders; one given up would not.
+        mayRelease = { false },
+    )
+    private val caller = DutyCaller(self.instance, ::held, platform.duties, clock, log)
+    private val endpointOrderer = EndpointOrderer(caller, inputs.services, inputs.endpoints, FleetSizing())
+    private val roleOrderer = RoleOrderer(caller, inputs.endpoints, StageBalance(), endpointOrderer::isGrowing)
+    private var loggedLease: HeldLease? = null
+
+    /** Whether this instance holds the duties. */
+    val isHolding: Boolean get() = lease.held() != null
+
+    /** Returns the engines whose change of role this instance orders. */
+    fun changingEngines(): List<EndpointId> = if (isHolding) roleOrderer.changing() else emptyList()
+
+    /** Takes part in the duties until [scope] ends, unless the platform asks for none. */
+    fun start(scope: CoroutineScope) {
+        if (settings.bounds.leaseMilliseconds <= 0) return
+        scope.launch { lease.run() }
+        scope.launch { roleOrderer.run() }
+        if (settings.platform.duties.isEmpty()) return
+        scope.launch { endpointOrderer.run() }
+        if (settings.bounds.usageWindowSeconds > 0) scope.launch { usageReporter().run() }
+    }
+
+    private fun usageReporter() = UsageReporter(
+        caller = caller,
+        store = platform.store,
+        counted = inputs.counted,
+        windowLength = settings.bounds.usageWindow,
+        reportWithin = settings.bounds.usageReportSeconds.seconds,
+        timeOfDayMilliseconds = System::currentTimeMillis,
+    )
+
+    private fun held(): HeldLease? {
+        val held = lease.held()
+        if (held?.fencing != loggedLease?.fencing) {
+            log.record(DecisionEvent.DutyChanged(duty.key.value, held != null, held?.fencing))
+            loggedLease = held
+        }
+        return held
+    }
+
+    private fun wish(): LeaseWish {
+        if (inputs.phase() != InstancePhase.READY) return LeaseWish.NONE
+        return DutyPlacement.wish(duty, self.instance, inputs.readyPeers() + self.instance)
+    }
+
+    private companion object {
+        val RENEW_EVERY = 1.seconds
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
@@ -0,0 +1,52 @@
+package org.nutmegspring.gateway.instance
+
+import org.nutmegspring.gateway.endpoints.EndpointTable
+import org.nutmegspring.gateway.forwarding.QuotaTable
+import org.nutmegspring.gateway.peers.EndpointLoadReport
+import org.nutmegspring.gateway.peers.PeerReport
+import org.nutmegspring.gateway.peers.PeerTable
+import org.nutmegspring.identity.EndpointId
+import org.nutmegspring.identity.InstanceId
+import org.nutmegspring.placement.PromptPart
+import org.nutmegspring.time.MonotonicClock
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Takes up what other instances report, and tells them of the own work at endpoints. */
+internal class PeerReports(
+    private val self: InstanceId,
+    private val peers: PeerTable,
+    private val quotas: QuotaTable,
+    private val endpoints: EndpointTable,
+    private val clock: MonotonicClock,
+) {
+    private var toldIdle: Set<EndpointId> = emptySet()
+
+    /** Takes up [report]; an old one or the own is passed over. */
+    fun hear(report: PeerReport) {
+        val now = clock.now()
+        if (report.instance == self || !peers.hear(report, now)) return
+        quotas.heard(report)
+        report.loads.forEach { load ->
+            endpoints.state(load.endpoint)?.heard(report.instance, load.waitingTokens, load.requests, now)
+        }
+        report.changingEngines.forEach { endpoints.state(it)?.avoid(now + CHANGE_NEWS_LIFETIME) }
+        report.promptsRead.forEach { prompt ->
+            val chain = prompt.chainHashes.zip(prompt.tokens, ::PromptPart)
+            endpoints.state(prompt.engine)?.reads(chain)
+        }
+    }
+
+    /** Returns the own work at endpoints, and once more those where it has just ended. */
+    fun ownLoads(): List<EndpointLoadReport> {
+        val busy = endpoints.all().filter { it.own.requests > 0 }
+        val ended = toldIdle - busy.map { it.endpoint.id }.toSet()
+        toldIdle = busy.map { it.endpoint.id }.toSet()
+        return busy.map { EndpointLoadReport(it.endpoint.id, it.own.waitingTokens, it.own.requests) } +
+            ended.map { EndpointLoadReport(it, 0, 0) }
+    }
+
+    private companion object {
+        /** Several exchanges; the instance that orders the change repeats it until the engine has changed. */
+        val CHANGE_NEWS_LIFETIME = 500.milliseconds
+    }
+}
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
@@ -37,6 +37,7 @@
  * @property startedAtMilliseconds when the process started, in milliseconds since the epoch
  * @property sequence numbers the reports of one process
  * @property evidenceAgeMilliseconds how old the proof is that its configuration is the newest, null without one
+ * @property changingEngines engines whose change of role the sender orders
  * @property charges units charged to each organisation since the process started
  */
 @Serializable
@@ -50,6 +51,7 @@
     val phase: InstancePhase,
     val configurationVersion: Long,
     val evidenceAgeMilliseconds: Long?,
+    val changingEngines: List<EndpointId>,
     val charges: Map<OrganisationId, Long>,
     val loads: List<EndpointLoadReport>,
     val promptsRead: List<PromptReadReport>,
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerTable.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerTable.kt
@@ -56,6 +56,10 @@
     fun live(now: MonotonicTime): List<PeerReport> =
         heard.values.filter { now - it.at < SILENCE && it.report.instance in records }.map { it.report }
 
+    /** Returns the instances that live and are ready as far as is known at [now]. */
+    fun ready(now: MonotonicTime): Set<InstanceId> =
+        live(now).filter { it.phase == InstancePhase.READY }.map { it.instance }.toSet()
+
     /** Returns how long an instance has been silent, or null when it was never heard. */
     fun silence(instance: InstanceId, now: MonotonicTime): Duration? = heard[instance]?.let { now - it.at }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/settings/GatewaySettings.kt
@@ -3,6 +3,8 @@
 import kotlinx.serialization.Serializable
 import org.nutmegspring.identity.DataCentreId
 import org.nutmegspring.identity.InstanceId
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** The settings of one instance of the gateway. */
 @Serializable
@@ -72,7 +74,15 @@
     val usageReportSeconds: Double,
     /** The longest time for which callers keep addresses. */
     val addressKeepSeconds: Int,
-)
+) {
+    /** The windows in which requests are counted, also when nothing is reported. */
+    val usageWindow: Duration get() = (if (usageWindowSeconds > 0) usageWindowSeconds else UNREPORTED_WINDOW).seconds
+
+    private companion object {
+        /** As long as the windows that are reported elsewhere; nothing depends on it. */
+        const val UNREPORTED_WINDOW = 5.0
+    }
+}
 
 /** How much is logged. */
 @Serializable
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/store/PlatformPorts.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/store/PlatformPorts.kt
@@ -5,9 +5,11 @@
 import org.nutmegspring.gateway.configuration.ServingConfiguration
 import org.nutmegspring.gateway.endpoints.ServingEndpoint
 import org.nutmegspring.gateway.wire.ServingDialect
+import org.nutmegspring.identity.DataCentreId
 import org.nutmegspring.identity.FencingNumber
 import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.identity.OrganisationId
+import org.nutmegspring.identity.ServiceId
 import org.nutmegspring.platform.ObjectStore
 import org.nutmegspring.platform.StoreFailure
 import kotlin.time.Duration
@@ -18,6 +20,18 @@
     val fencing: FencingNumber,
 )
 
+/**
+ * How many endpoints of a service a data centre is to have, counted by kind.
+ *
+ * @property isInterruptible whether those are meant that cost less and may be taken away at short notice
+ */
+data class EndpointOrder(
+    val service: ServiceId,
+    val dataCentre: DataCentreId,
+    val isInterruptible: Boolean,
+    val count: Int,
+)
+
 /** Calls that only the holder of a duty may make. Each is paid for. */
 interface DutyCalls {
     /** Reports how many requests of each organisation began in [window]. A repeat of the same report is harmless. */
@@ -35,6 +49,13 @@
         holder: DutyHolder,
         timeout: Duration,
     ): Either<StoreFailure, Unit>
+
+    /** Asks the platform for the number of endpoints that [order] names. A repeat is harmless. */
+    suspend fun orderEndpoints(
+        order: EndpointOrder,
+        holder: DutyHolder,
+        timeout: Duration,
+    ): Either<StoreFailure, Unit>
 }
 
 /** Everything that the gateway needs of the platform. */
--- /dev/null
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/EndpointOrdererSpec.kt
@@ -0,0 +1,100 @@
+package org.nutmegspring.gateway.duties
+
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Nested
+import org.nutmegspring.gateway.configuration.ServiceDefinition
+import org.nutmegspring.gateway.endpointOf
+import org.nutmegspring.gateway.endpoints.EndpointTable
+import org.nutmegspring.gateway.store.FeedEntry
+import org.nutmegspring.gateway.store.Listing
+import org.nutmegspring.identity.DataCentreId
+import org.nutmegspring.platform.ListedState
+import org.nutmegspring.spending.FleetSizing
+import org.nutmegspring.spending.ScalingTerms
+import org.nutmegspring.time.MonotonicTime
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+@OptIn(ExperimentalCoroutinesApi::class)
+class EndpointOrdererSpec {
+    private val calls = RecordedDutyCalls()
+    private val table = EndpointTable({ 1_000 }) { _, _ -> }
+    private val service = endpointOf("any").service
+    private val prices = mapOf(DataCentreId("rennes") to 1.0)
+    private val terms = ScalingTerms(least = 1, most = 5, 4.seconds, interruptiblePrice = 0.2, prices)
+    private var isHeld = true
+
+    private fun TestScope.start(scaling: ScalingTerms? = terms): EndpointOrderer {
+        val services = { listOf(ServiceDefinition(service, engines = null, scaling)) }
+        val orderer = EndpointOrderer(dutyCaller(calls) { isHeld }, services, table, FleetSizing())
+        backgroundScope.launch { orderer.run() }
+        return orderer
+    }
+
+    private fun ordered(): List<Pair<Boolean, Int>> = calls.endpoints.map { it.isInterruptible to it.count }
+
+    private fun stand(steady: Int, interruptible: Int, departing: Int = 0) {
+        val entries = List(steady + interruptible + departing) { index ->
+            val state = if (index < steady + interruptible) ListedState.LIVE else ListedState.DEPARTING
+            FeedEntry("e$index", endpointOf("e$index").copy(isInterruptible = index >= steady, state = state))
+        }
+        table.replace(Listing(entries, 1), null, MonotonicTime.ZERO)
+    }
+
+    @Nested
+    inner class `given steady endpoints only` {
+        @Test
+        fun `interruptible ones take their places step by step`() = runTest {
+            stand(steady = 3, interruptible = 0)
+            val orderer = start()
+            testScheduler.advanceTimeBy(2.seconds)
+            assertEquals(listOf(true to 2), ordered())
+            assertTrue(orderer.isGrowing(service))
+            stand(steady = 3, interruptible = 2)
+            testScheduler.advanceTimeBy(3.seconds)
+            assertEquals(listOf(true to 2, false to 1), ordered())
+            stand(steady = 1, interruptible = 2)
+            testScheduler.advanceTimeBy(2.seconds)
+            assertEquals(listOf(true to 2, false to 1, true to 4), ordered())
+            stand(steady = 1, interruptible = 4)
+            assertFalse(orderer.isGrowing(service))
+        }
+    }
+
+    @Nested
+    inner class `when all interruptible endpoints are about to leave` {
+        @Test
+        fun `as many are ordered again`() = runTest {
+            stand(steady = 1, interruptible = 0, departing = 4)
+            start()
+            testScheduler.advanceTimeBy(2.seconds)
+            assertEquals(listOf(true to 4), ordered())
+        }
+    }
+
+    @Nested
+    inner class `when nothing may be ordered` {
+        @Test
+        fun `none is, for a service that is not scaled`() = runTest {
+            stand(steady = 4, interruptible = 0)
+            start(scaling = null)
+            testScheduler.advanceTimeBy(5.seconds)
+            assertEquals(0, calls.endpoints.size)
+        }
+
+        @Test
+        fun `none is, while another instance holds the duty`() = runTest {
+            isHeld = false
+            stand(steady = 4, interruptible = 0)
+            start()
+            testScheduler.advanceTimeBy(5.seconds)
+            assertEquals(0, calls.endpoints.size)
+        }
+    }
+}
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/RoleOrdererSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/RoleOrdererSpec.kt
@@ -1,7 +1,5 @@
 package org.nutmegspring.gateway.duties
 
-import arrow.core.Either
-import arrow.core.right
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
@@ -10,58 +8,28 @@
 import org.nutmegspring.endpoint.EngineRole
 import org.nutmegspring.gateway.endpointOf
 import org.nutmegspring.gateway.endpoints.EndpointTable
-import org.nutmegspring.gateway.endpoints.ServingEndpoint
-import org.nutmegspring.gateway.store.DutyCalls
-import org.nutmegspring.gateway.store.DutyHolder
 import org.nutmegspring.gateway.store.FeedEntry
+import org.nutmegspring.gateway.store.FeedEvent
 import org.nutmegspring.gateway.store.Listing
-import org.nutmegspring.identity.EndpointId
-import org.nutmegspring.identity.FencingNumber
-import org.nutmegspring.identity.InstanceId
-import org.nutmegspring.identity.OrganisationId
-import org.nutmegspring.lease.HeldLease
-import org.nutmegspring.platform.StoreFailure
 import org.nutmegspring.roles.StageBalance
-import org.nutmegspring.time.MonotonicClock
 import org.nutmegspring.time.MonotonicTime
 import kotlin.test.Test
 import kotlin.test.assertEquals
-import kotlin.time.Duration
+import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 @OptIn(ExperimentalCoroutinesApi::class)
 class RoleOrdererSpec {
-    private class RecordedOrders : DutyCalls {
-        val roles = mutableListOf<Pair<EndpointId, EngineRole>>()
-
-        override suspend fun reportUsage(
-            window: Long,
-            counts: Map<OrganisationId, Long>,
-            holder: DutyHolder,
-            timeout: Duration,
-        ): Either<StoreFailure, Unit> = Unit.right()
-
-        override suspend fun orderRole(
-            engine: ServingEndpoint,
-            role: EngineRole,
-            holder: DutyHolder,
-            timeout: Duration,
-        ): Either<StoreFailure, Unit> {
-            roles += engine.id to role
-            return Unit.right()
-        }
-    }
-
-    private val orders = RecordedOrders()
+    private val orders = RecordedDutyCalls()
     private val table = EndpointTable({ 1_000 }) { _, _ -> }
     private var isHeld = true
 
-    private fun TestScope.start() {
-        val clock = MonotonicClock { MonotonicTime.ZERO + testScheduler.currentTime.milliseconds }
-        val lease = { HeldLease(FencingNumber(1), clock.now() + 3.seconds).takeIf { isHeld } }
-        val orderer = RoleOrderer(InstanceId("a"), lease, table, orders, StageBalance(), clock) { }
+    private fun TestScope.start(): RoleOrderer {
+        val caller = dutyCaller(orders) { isHeld }
+        val orderer = RoleOrderer(caller, table, StageBalance()) { false }
         backgroundScope.launch { orderer.run() }
+        return orderer
     }
 
     private fun engines(readers: Int, generators: Int) {
@@ -95,6 +63,24 @@
         }
     }
 
+    @Nested
+    inner class `before an engine is ordered to change` {
+        @Test
+        fun `the change is told to the other instances, until the engine has changed`() = runTest {
+            engines(readers = 10, generators = 2)
+            val orderer = start()
+            while (orders.roles.isEmpty() && orderer.changing().isEmpty()) testScheduler.advanceTimeBy(50.milliseconds)
+            assertEquals(emptyList(), orders.roles)
+            val told = orderer.changing()
+            testScheduler.advanceTimeBy(1.seconds)
+            assertEquals(told, orders.roles.map { it.first })
+            assertTrue(checkNotNull(table.state(told.single())).isAvoided(MonotonicTime.ZERO + 3.seconds))
+            val changed = checkNotNull(table.state(told.single())).endpoint.copy(role = EngineRole.DECODE)
+            table.apply(FeedEvent.Changed(FeedEntry(told.single().value, changed)), null, MonotonicTime.ZERO)
+            assertEquals(emptyList(), orderer.changing())
+        }
+    }
+
     @Nested
     inner class `while another instance holds the duty` {
         @Test
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/UsageReporterSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/UsageReporterSpec.kt
@@ -8,39 +8,25 @@
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Nested
-import org.nutmegspring.endpoint.EngineRole
-import org.nutmegspring.failure.Effect
-import org.nutmegspring.failure.Failure
-import org.nutmegspring.failure.Peer
-import org.nutmegspring.failure.Step
-import org.nutmegspring.gateway.endpoints.ServingEndpoint
-import org.nutmegspring.gateway.store.DutyCalls
-import org.nutmegspring.gateway.store.DutyHolder
-import org.nutmegspring.identity.FencingNumber
-import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.identity.OrganisationId
-import org.nutmegspring.lease.HeldLease
 import org.nutmegspring.platform.ObjectKey
 import org.nutmegspring.platform.ObjectStore
 import org.nutmegspring.platform.ObjectVersion
 import org.nutmegspring.platform.StoreFailure
 import org.nutmegspring.platform.VersionedObject
 import org.nutmegspring.platform.WriteCondition
-import org.nutmegspring.time.MonotonicClock
-import org.nutmegspring.time.MonotonicTime
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 @OptIn(ExperimentalCoroutinesApi::class)
 class UsageReporterSpec {
     private val theatre = OrganisationId("theatre")
     private val store = CreateOnlyStore()
-    private val reports = mutableListOf<Pair<Long, Map<OrganisationId, Long>>>()
-    private var answers = true
+    private val calls = RecordedDutyCalls()
+    private val reports = calls.reports
     private var isHeld = true
 
     /** Objects that are created once. */
@@ -72,40 +58,15 @@
         ): Either<StoreFailure, VersionedObject?> = null.right()
     }
 
-    private inner class Reports : DutyCalls {
-        override suspend fun reportUsage(
-            window: Long,
-            counts: Map<OrganisationId, Long>,
-            holder: DutyHolder,
-            timeout: Duration,
-        ): Either<StoreFailure, Unit> {
-            reports += window to counts
-            val lost = Failure(Step.REPORT_USAGE, Peer.PLATFORM, Effect.UNKNOWN, "no answer")
-            return if (answers) Unit.right() else StoreFailure.Unanswered(lost).left()
-        }
-
-        override suspend fun orderRole(
-            engine: ServingEndpoint,
-            role: EngineRole,
-            holder: DutyHolder,
-            timeout: Duration,
-        ): Either<StoreFailure, Unit> = Unit.right()
-    }
-
     /** Starts a reporter that counts [count] requests in every window. */
     private fun TestScope.start(count: Long) {
-        val clock = MonotonicClock { MonotonicTime.ZERO + testScheduler.currentTime.milliseconds }
         val reporter = UsageReporter(
-            self = InstanceId("a"),
-            held = { HeldLease(FencingNumber(1), clock.now() + 3.seconds).takeIf { isHeld } },
+            caller = dutyCaller(calls) { isHeld },
             store = store,
-            duties = Reports(),
             counted = { mapOf(theatre to count) },
             windowLength = 5.seconds,
             reportWithin = 10.seconds,
-            clock = clock,
             timeOfDayMilliseconds = { 100_000 + testScheduler.currentTime },
-            log = { },
         )
         backgroundScope.launch { reporter.run() }
     }
@@ -122,10 +83,10 @@
 
         @Test
         fun `a report without an answer is repeated with the same figures`() = runTest {
-            answers = false
+            calls.answers = false
             start(count = 3)
             testScheduler.advanceTimeBy(8.seconds)
-            answers = true
+            calls.answers = true
             testScheduler.advanceTimeBy(2.seconds)
             val repeated = reports.groupBy({ it.first }, { it.second }).values.first { it.size > 1 }
             assertEquals(1, repeated.distinct().size)
@@ -136,11 +97,11 @@
     inner class `when another instance takes the duty over` {
         @Test
         fun `it reports the figures that were fixed, whatever it counted itself`() = runTest {
-            answers = false
+            calls.answers = false
             start(count = 3)
             testScheduler.advanceTimeBy(8.seconds)
             val fixed = reports.first()
-            answers = true
+            calls.answers = true
             reports.clear()
             start(count = 8)
             testScheduler.advanceTimeBy(1.seconds)
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/peers/PeerTableSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/peers/PeerTableSpec.kt
@@ -36,6 +36,7 @@
         phase = phase,
         configurationVersion = 1,
         evidenceAgeMilliseconds = evidenceAge,
+        changingEngines = emptyList(),
         charges = emptyMap(),
         loads = emptyList(),
         promptsRead = emptyList(),
