Let the fleet take its shape before the first work, and hand duties on at a stop

Causes: (1) orders waited for one another, so that ten engines changed their roles when traffic began; (2) a holder that stopped kept the lease to its end, and nobody reported usage for the time after that; (3) a hot prompt waited at its holder for up to 330 ms while other readers were idle.

Changes: while a service is idle its steady endpoints make room at once; a stopping holder gives the lease up once its calls have ended; reading shared tokens again costs by the part of the readers that are busy; connections to an endpoint stay open when only its description changes.

--- a/decisions/src/main/kotlin/org/nutmegspring/placement/EnginePlacement.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/placement/EnginePlacement.kt
@@ -83,26 +83,27 @@
  *
  * Load pattern: the mix swings between long prompts with much in common and short ones, faster than engines can change
  * roles, and reading is what binds. A request goes where its first output is expected soonest, counting the tokens
- * ahead of it and those of its prompt that the engine does not hold. Tokens that some other engine holds cost extra,
- * since reading them again takes time from others.
+ * ahead of it and those of its prompt that the engine does not hold. Reading shared tokens again costs extra by the part
+ * of the readers that are busy: it takes time from others only when they would use it.
  */
 class EnginePlacement(private val speeds: EngineSpeeds = EngineSpeeds()) {
     /** Returns the plan with the least cost for [work] from [from], or null when no engine can take it. */
     fun plan(work: PlacedWork, candidates: List<EngineCandidate>, from: DataCentreId): EnginePlan? {
         val usable = candidates.filter { it.requests < it.slots * FULL_SHARE }.ifEmpty { candidates }
+        val readAgainWeight = READ_AGAIN_WEIGHT * busyShare(usable.filter { it.role != EngineRole.DECODE })
         val generators = usable.filter { it.role != EngineRole.PREFILL }
-        val reader = usable.filter { it.role == EngineRole.PREFILL }.minByOrNull { readCost(it, work) }
+        val reader = usable.filter { it.role == EngineRole.PREFILL }.minByOrNull { readCost(it, work, readAgainWeight) }
         val direct = generators
             .filter { reader == null || it.role == EngineRole.MIXED || unread(it, work) <= SMALL_PROMPT_TOKENS }
-            .minByOrNull { directCost(it, work, from) }
+            .minByOrNull { directCost(it, work, from, readAgainWeight) }
         val target = reader?.let { source -> generators.minByOrNull { fetchCost(it, source, work) } }
         val handover = if (reader != null && target != null) {
-            readCost(reader, work) + fetchCost(target, reader, work)
+            readCost(reader, work, readAgainWeight) + fetchCost(target, reader, work)
         } else {
             Double.MAX_VALUE
         }
         return when {
-            direct != null && directCost(direct, work, from) <= handover -> {
+            direct != null && directCost(direct, work, from, readAgainWeight) <= handover -> {
                 EnginePlan.Direct(
                     direct,
                     waitMilliseconds(direct),
@@ -141,17 +142,26 @@
         (engine.tokensAhead + unread(engine, work)) / speed(engine)
 
     /** Time to the first output, and the time that reading shared tokens again takes from others. */
-    private fun readCost(engine: EngineCandidate, work: PlacedWork): Double {
+    private fun readCost(engine: EngineCandidate, work: PlacedWork, readAgainWeight: Double): Double {
         val sharedAgain = maxOf(0, work.sharedTokens - engine.heldTokens)
-        return readMilliseconds(engine, work) + READ_AGAIN_WEIGHT * sharedAgain / speed(engine) +
+        return readMilliseconds(engine, work) + readAgainWeight * sharedAgain / speed(engine) +
             rankMilliseconds(engine, work.chainKey)
     }
 
-    private fun directCost(engine: EngineCandidate, work: PlacedWork, from: DataCentreId): Double {
+    private fun directCost(
+        engine: EngineCandidate,
+        work: PlacedWork,
+        from: DataCentreId,
+        readAgainWeight: Double,
+    ): Double {
         val distance = if (engine.dataCentre == from) 0.0 else OTHER_DATA_CENTRE_MILLISECONDS
-        return readCost(engine, work) + engine.requests * REQUEST_MILLISECONDS + distance
+        return readCost(engine, work, readAgainWeight) + engine.requests * REQUEST_MILLISECONDS + distance
     }
 
+    /** The part of [readers] that have tokens to read. */
+    private fun busyShare(readers: List<EngineCandidate>): Double =
+        if (readers.isEmpty()) 1.0 else readers.count { it.tokensAhead > 0 }.toDouble() / readers.size
+
     private fun fetchMilliseconds(target: EngineCandidate, source: EngineCandidate, work: PlacedWork): Double {
         val factor = if (target.dataCentre == source.dataCentre) 1.0 else OTHER_DATA_CENTRE_FACTOR
         val moved = work.promptTokens * speeds.cacheBytesPerToken
@@ -174,7 +184,7 @@
         /** The part of an engine's slots above which it is passed over while others have room. */
         const val FULL_SHARE = 0.9
 
-        /** The weight of time that reading a shared part again takes from other requests. */
+        /** The weight of time that reading a shared part again takes from other requests, when all readers are busy. */
         const val READ_AGAIN_WEIGHT = 0.5
 
         /** One more running request lengthens each step; a request takes a few steps. */
--- a/decisions/src/main/kotlin/org/nutmegspring/spending/FleetOrders.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/spending/FleetOrders.kt
@@ -18,7 +18,8 @@
  *
  * The most endpoints of a data centre count both kinds, so that steady ones make room step by step: those are given
  * back where as many interruptible ones serve as there was room for. A number that was ordered is not ordered again
- * while endpoints are replaced one by one; one that is missed for long is.
+ * while endpoints are replaced one by one; one that is missed for long is. While the service is idle there is nothing
+ * to lose, and the fleet takes its shape at once.
  *
  * @param most the most endpoints in a data centre
  */
@@ -28,22 +29,27 @@
     private val repeatAfter = startUp * REPEAT_START_UPS + REPEAT_MARGIN
     private var firstSentAt: MonotonicTime? = null
     private val sent = HashMap<Pair<DataCentreId, Boolean>, Sent>()
-    private val excessSince = HashMap<Pair<DataCentreId, Boolean>, MonotonicTime>()
+    private val excessSince = HashMap<DataCentreId, MonotonicTime>()
 
-    /** Returns the orders that are due at [now]. */
+    /** Returns the orders that are due at [now]. [isIdle] tells that the endpoints have had no work for a while. */
     fun due(
         targets: Map<DataCentreId, EndpointCounts>,
         standing: Map<DataCentreId, EndpointCounts>,
+        isIdle: Boolean,
         now: MonotonicTime,
     ): List<CountOrder> {
         return targets.flatMap { (place, target) ->
             val here = standing[place] ?: EndpointCounts(0, 0)
-            val free = most - maxOf(target.steady, here.steady)
+            if (here.steady > target.steady) excessSince.getOrPut(place) { now } else excessSince.remove(place)
+            val free = most - (if (isIdle) target.steady else maxOf(target.steady, here.steady))
             val room = minOf(target.interruptible, maxOf(free, here.interruptible))
+            val isReplaced = room > 0 && here.interruptible >= room && isLastingExcess(place, now)
+            val mayGiveBack = isIdle || isReplaced
+            // What is given back first makes room at once.
             listOfNotNull(
-                CountOrder(place, true, room).takeIf { isDue(it, here.interruptible, true, now) },
                 CountOrder(place, false, target.steady)
-                    .takeIf { isDue(it, here.steady, mayGiveBack = here.interruptible >= room && room > 0, now) },
+                    .takeIf { isFirst(it, isIdle) || isDue(it, here.steady, mayGiveBack, now) },
+                CountOrder(place, true, room).takeIf { isDue(it, here.interruptible, mayGiveBack = true, now) },
             )
         }
     }
@@ -64,20 +70,23 @@
         sent[order.dataCentre to order.isInterruptible] = Sent(order.count, isTaken, now)
     }
 
+    /** At the start some endpoints that stand are not listed yet, and would take the room of those that are ordered. */
+    private fun isFirst(order: CountOrder, isIdle: Boolean) =
+        isIdle && sent[order.dataCentre to order.isInterruptible] == null
+
     private fun isDue(order: CountOrder, standing: Int, mayGiveBack: Boolean, now: MonotonicTime): Boolean {
-        if (standing <= order.count) excessSince.remove(order.dataCentre to order.isInterruptible)
         if (standing == order.count) return false
         val last = sent[order.dataCentre to order.isInterruptible]
         if (last == null || last.count != order.count) {
-            return standing < order.count || mayGiveBack && isLastingExcess(order, now)
+            return standing < order.count || mayGiveBack
         }
         val isMissed = standing < order.count || !last.isTaken
         return isMissed && now - last.at >= repeatAfter
     }
 
-    /** Whether more than [order] asks for have stood for a while. */
-    private fun isLastingExcess(order: CountOrder, now: MonotonicTime): Boolean =
-        now - excessSince.getOrPut(order.dataCentre to order.isInterruptible) { now } >= REPLACEMENT_TIME
+    /** Whether more steady endpoints than are wanted have stood in [place] for a while. */
+    private fun isLastingExcess(place: DataCentreId, now: MonotonicTime): Boolean =
+        excessSince[place]?.let { now - it >= REPLACEMENT_TIME } ?: false
 
     private companion object {
         /** When an endpoint is replaced, the old one leaves about a second after the new one has come. */
--- a/decisions/src/test/kotlin/org/nutmegspring/placement/EnginePlacementSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/placement/EnginePlacementSpec.kt
@@ -9,6 +9,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
+import kotlin.test.assertNotEquals
 import kotlin.test.assertNull
 import kotlin.test.assertTrue
 
@@ -69,6 +70,25 @@
         }
     }
 
+    @Nested
+    inner class `given a hot prompt whose holder has a queue` {
+        private val holder = engine("h", EngineRole.PREFILL, tokensAhead = 16_000, heldTokens = 13_300)
+        private val generator = engine("g", EngineRole.DECODE)
+
+        private fun reader(others: List<EngineCandidate>): String =
+            assertIs<EnginePlan.Handover>(placement.plan(work, others + holder + generator, here)).reader.id.value
+
+        @Test
+        fun `an idle engine reads it again, which takes time from nobody`() {
+            assertNotEquals("h", reader(List(9) { engine("p$it", EngineRole.PREFILL) }))
+        }
+
+        @Test
+        fun `it stays while all engines have queues, since reading again would lengthen them`() {
+            assertEquals("h", reader(List(9) { engine("p$it", EngineRole.PREFILL, tokensAhead = 3_000) }))
+        }
+    }
+
     @Nested
     inner class `without engines that read` {
         @Test
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/DutyCaller.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/DutyCaller.kt
@@ -9,8 +9,10 @@
 import org.nutmegspring.lease.HeldLease
 import org.nutmegspring.platform.StoreFailure
 import org.nutmegspring.time.MonotonicClock
+import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Makes calls that only the holder of the duties may make, and logs each with its outcome. */
 class DutyCaller(
@@ -20,6 +22,9 @@
     val clock: MonotonicClock,
     private val log: DecisionLog,
 ) {
+    private var callsUnderWay = 0
+    private var lastCallEndedAt: MonotonicTime? = null
+
     /** Whether this instance holds the duties. */
     val isHolding: Boolean get() = held() != null
 
@@ -35,14 +40,27 @@
     ): Boolean {
         val lease = held() ?: return false
         if (!lease.covers(clock.now(), CALL_TIMEOUT)) return false
-        val sent = calls.send(DutyHolder(self, lease.fencing), CALL_TIMEOUT)
+        callsUnderWay++
+        val sent = try {
+            calls.send(DutyHolder(self, lease.fencing), CALL_TIMEOUT)
+        } finally {
+            callsUnderWay--
+            lastCallEndedAt = clock.now()
+        }
         val outcome = sent.fold({ it.toString() }, { "accepted" })
         log.record(DecisionEvent.DutyCall(duty, subject, lease.fencing, outcome))
         return sent.isRight()
     }
 
+    /** Whether the last call has ended so long ago that nothing of it is still on its way. */
+    fun isQuiet(): Boolean =
+        callsUnderWay == 0 && lastCallEndedAt?.let { clock.now() - it >= QUIET_TIME } ?: true
+
     private companion object {
         /** Well below the lease, so that a call has ended before another instance may hold it. */
         val CALL_TIMEOUT = 800.milliseconds
+
+        /** Many times the longest way to the platform. */
+        val QUIET_TIME = 1.seconds
     }
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/EndpointOrderer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/EndpointOrderer.kt
@@ -12,7 +12,9 @@
 import org.nutmegspring.spending.EndpointCounts
 import org.nutmegspring.spending.FleetOrders
 import org.nutmegspring.spending.FleetSizing
+import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Orders endpoints of the services that may be scaled, while this instance holds the duty.
@@ -26,6 +28,8 @@
     private val sizing: FleetSizing,
 ) {
     private val orders = HashMap<ServiceId, FleetOrders>()
+    private val watchedSince = HashMap<ServiceId, MonotonicTime>()
+    private val busyAt = HashMap<ServiceId, MonotonicTime>()
 
     /** Orders what the sizing asks for until the coroutine is cancelled. */
     suspend fun run(): Nothing {
@@ -35,24 +39,38 @@
         }
     }
 
-    /** Whether endpoints of [service] were just ordered and most are still to come or to go. */
+    /** Whether endpoints of [service] are about to be ordered, or were just ordered and most are to come or to go. */
     fun isGrowing(service: ServiceId): Boolean {
         val terms = services().find { it.id == service }?.scaling ?: return false
         val standing = standing(service)
         val targets = sizing.targets(terms, standing.keys) ?: return false
-        return orders[service]?.isGrowing(targets, standing, caller.clock.now()) ?: false
+        return orders[service]?.isGrowing(targets, standing, caller.clock.now()) ?: true
     }
 
     private suspend fun order(service: ServiceDefinition) {
         val terms = service.scaling ?: return
         val standing = standing(service.id)
         val targets = sizing.targets(terms, standing.keys) ?: return
+        val isIdle = isIdle(service.id) ?: return
         val ofService = orders.getOrPut(service.id) { FleetOrders(terms.most, terms.startUp) }
-        ofService.due(targets, standing, caller.clock.now()).forEach { order ->
+        ofService.due(targets, standing, isIdle, caller.clock.now()).forEach { order ->
             ofService.sent(order, send(service.id, order), caller.clock.now())
         }
     }
 
+    /**
+     * Whether no instance has had work at the endpoints of [service] for a while, as far as is known. Returns null as
+     * long as nothing is known, after the instance took the duty.
+     */
+    private fun isIdle(service: ServiceId): Boolean? {
+        val now = caller.clock.now()
+        val isBusy = endpoints.all().any { it.endpoint.service == service && it.requests(now) > 0 }
+        if (isBusy) busyAt[service] = now
+        val watchedSince = watchedSince.getOrPut(service) { now }
+        val quietSince = busyAt[service] ?: watchedSince
+        return if (now - watchedSince < IDLE_TIME) null else now - quietSince >= IDLE_TIME
+    }
+
     /** Counts the endpoints of [service] that take work, by data centre, also where all are about to leave. */
     private fun standing(service: ServiceId): Map<DataCentreId, EndpointCounts> =
         endpoints.all().filter { it.endpoint.service == service }
@@ -73,5 +91,8 @@
 
     private companion object {
         val CHECK_EVERY = 500.milliseconds
+
+        /** Longer than the others take to report, and than calm traffic pauses. */
+        val IDLE_TIME = 1.seconds
     }
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/RoleOrderer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/RoleOrderer.kt
@@ -100,8 +100,8 @@
     private companion object {
         val CHECK_EVERY = 500.milliseconds
 
-        /** Longer than the pauses between engines that start together. */
-        val SETTLING = 1500.milliseconds
+        /** Longer than the pauses between engines that start together, shorter than between those of a release. */
+        val SETTLING = 700.milliseconds
 
         /** Several exchanges between instances. */
         val ANNOUNCED_BEFORE = 300.milliseconds
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -12,6 +12,7 @@
 import org.nutmegspring.admission.FirstOutputLimit
 import org.nutmegspring.gateway.duties.RoleOrderer
 import org.nutmegspring.gateway.duties.UsageReporter
+import org.nutmegspring.gateway.endpoints.EndpointChange
 import org.nutmegspring.gateway.endpoints.EndpointTable
 import org.nutmegspring.gateway.forwarding.Admission
 import org.nutmegspring.gateway.forwarding.AdmissionBounds
@@ -103,7 +104,7 @@
     private val quotas = QuotaTable(clock) { settings.bounds.quotaWindowSeconds.seconds }
     private val peers = PeerTable(self)
     private val endpoints = EndpointTable(::cacheCapacity) { endpoint, change ->
-        connections.forget(endpoint.address)
+        if (change == EndpointChange.APPEARED || change == EndpointChange.GONE) connections.forget(endpoint.address)
         log.record(DecisionEvent.EndpointChanged(endpoint, change))
     }
     private val counts = WindowCounts(initial.bounds.usageWindow.inWholeMilliseconds)
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceDuties.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceDuties.kt
@@ -63,10 +63,11 @@
             LeaseTiming(duration = settings.bounds.leaseMilliseconds.milliseconds, renewEvery = RENEW_EVERY),
         ),
         wish = ::wish,
-        // A lease that ran out leaves time between the calls of two holders; one given up would not.
-        mayRelease = { false },
+        // A process that stops makes no further call; one that is ready again keeps what it holds.
+        mayRelease = { isStopping && caller.isQuiet() },
     )
-    private val caller = DutyCaller(self.instance, ::held, platform.duties, clock, log)
+    private val isStopping: Boolean get() = inputs.phase() == InstancePhase.DRAINING
+    private val caller: DutyCaller = DutyCaller(self.instance, ::held, platform.duties, clock, log)
     private val endpointOrderer = EndpointOrderer(caller, inputs.services, inputs.endpoints, FleetSizing())
     private val roleOrderer = RoleOrderer(caller, inputs.endpoints, StageBalance(), endpointOrderer::isGrowing)
     private var loggedLease: HeldLease? = null
@@ -97,7 +98,7 @@
     )
 
     private fun held(): HeldLease? {
-        val held = lease.held()
+        val held = lease.held()?.takeIf { !isStopping }
         if (held?.fencing != loggedLease?.fencing) {
             log.record(DecisionEvent.DutyChanged(duty.key.value, held != null, held?.fencing))
             loggedLease = held
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/EndpointOrdererSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/EndpointOrdererSpec.kt
@@ -11,6 +11,7 @@
 import org.nutmegspring.gateway.store.FeedEntry
 import org.nutmegspring.gateway.store.Listing
 import org.nutmegspring.identity.DataCentreId
+import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.platform.ListedState
 import org.nutmegspring.spending.FleetSizing
 import org.nutmegspring.spending.ScalingTerms
@@ -52,6 +53,7 @@
         @Test
         fun `interruptible ones take their places step by step`() = runTest {
             stand(steady = 3, interruptible = 0)
+            checkNotNull(table.state(EndpointId("e0"))).own.sent(1)
             val orderer = start()
             testScheduler.advanceTimeBy(2.seconds)
             assertEquals(listOf(true to 2), ordered())
@@ -67,11 +69,23 @@
         }
     }
 
+    @Nested
+    inner class `before the first work` {
+        @Test
+        fun `the fleet takes its shape at once`() = runTest {
+            stand(steady = 3, interruptible = 0)
+            start()
+            testScheduler.advanceTimeBy(3.seconds)
+            assertEquals(listOf(false to 1, true to 4), ordered())
+        }
+    }
+
     @Nested
     inner class `when all interruptible endpoints are about to leave` {
         @Test
         fun `as many are ordered again`() = runTest {
             stand(steady = 1, interruptible = 0, departing = 4)
+            checkNotNull(table.state(EndpointId("e0"))).own.sent(1)
             start()
             testScheduler.advanceTimeBy(2.seconds)
             assertEquals(listOf(true to 4), ordered())
