--- a/decisions/src/main/kotlin/org/nutmegspring/routing/EndpointHealth.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/routing/EndpointHealth.kt
@@ -31,6 +31,9 @@
 
     private var state: State = State.Closed(0)
 
+    /** Whether the endpoint is left out, or only tried. */
+    val isOut: Boolean get() = state !is State.Closed
+
     /** Whether work may be sent at [now]. */
     fun permits(now: MonotonicTime): Boolean = when (val current = state) {
         is State.Closed -> true
--- a/decisions/src/main/kotlin/org/nutmegspring/spending/FleetOrders.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/spending/FleetOrders.kt
@@ -80,8 +80,8 @@
         if (last == null || last.count != order.count) {
             return standing < order.count || mayGiveBack
         }
-        val isMissed = standing < order.count || !last.isTaken
-        return isMissed && now - last.at >= repeatAfter
+        val pause = if (last.isTaken) repeatAfter else REFUSED_PAUSE
+        return (standing < order.count || !last.isTaken) && now - last.at >= pause
     }
 
     /** Whether more steady endpoints than are wanted have stood in [place] for a while. */
@@ -96,6 +96,9 @@
         const val REPEAT_START_UPS = 2
         val REPEAT_MARGIN = 2.seconds
 
+        /** Where there are none at the moment, there mostly are some seconds later, and an order costs little. */
+        val REFUSED_PAUSE = 2.seconds
+
         /** Where steady ones have to make room, the rest starts after the first have. */
         const val GROWTH_START_UPS = 2
         val GROWTH_MARGIN = 3.seconds
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
@@ -39,6 +39,11 @@
     /** Whether the endpoint is left out after failures. */
     val health = EndpointHealth(HEALTH)
 
+    private var isSilent = false
+
+    /** Whether the endpoint is left out since it does not answer this instance at all. */
+    val isUnreachable: Boolean get() = isSilent && health.isOut
+
     /** Until when the endpoint is used although its entry has lapsed, or null while the entry stands. */
     var lapsesAt: MonotonicTime? = null
 
@@ -60,6 +65,24 @@
         if (refusals >= REFUSALS_TO_AVOID) avoid(now + REFUSAL_PAUSE)
     }
 
+    /** Records that the endpoint did not answer at [now]. */
+    fun unanswered(now: MonotonicTime) {
+        isSilent = true
+        health.failed(now)
+    }
+
+    /** Records that the endpoint completed a request. */
+    fun succeeded() {
+        isSilent = false
+        health.succeeded()
+    }
+
+    /** Records that it does not answer another instance. It is left out for a while unless it answers this one. */
+    fun unreachableElsewhere(now: MonotonicTime) {
+        val hasJustAnswered = lastAnswerAt?.let { now - it < RECENT_ANSWER } ?: false
+        if (!hasJustAnswered) avoid(now + NEWS_LIFETIME)
+    }
+
     /** Leaves the endpoint out until [until], unless it changes before. */
     fun avoid(until: MonotonicTime) {
         avoidedUntil = maxOf(avoidedUntil ?: until, until)
@@ -143,6 +166,12 @@
         /** A full or changing engine is tried again after about the time of a request. */
         val REFUSAL_PAUSE = 250.milliseconds
 
+        /** An endpoint under work answers more often; what another instance sees may be its own connection. */
+        val RECENT_ANSWER = 300.milliseconds
+
+        /** Several exchanges; the other instance repeats what it sees. */
+        val NEWS_LIFETIME = 400.milliseconds
+
         /** Several exchanges; later the work told of has ended. */
         val PEER_LOAD_LIFETIME = 1.seconds
         val SHORTEST_EXPECTATION = 20.milliseconds
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
@@ -98,7 +98,7 @@
     /** Records that [prepared] completed [run]. */
     fun succeeded(run: RequestRun, prepared: PreparedEngine) {
         run.unfetched = null
-        prepared.engine.health.succeeded()
+        prepared.engine.succeeded()
     }
 
     /** Frees what an engine read for [run] and no other fetched. */
@@ -116,7 +116,7 @@
             EndpointRefusal.BUSY -> engine.refused(clock.now())
             null -> run.unfetched = null
         }
-        if (failure.effect == Effect.UNKNOWN || failure.step == Step.CONNECT) engine.health.failed(clock.now())
+        if (failure.effect == Effect.UNKNOWN || failure.step == Step.CONNECT) engine.unanswered(clock.now())
         if (prepared.stage is DispatchStage.Generate && run.unfetched == null) run.tried.remove(engine.endpoint.id)
     }
 
@@ -137,10 +137,10 @@
         try {
             val prefilled = ticket.whileAlive(run::timeLeft) { readPrefilled(run, reader, ticket) }
             if (prefilled != null) {
-                reader.health.succeeded()
+                reader.succeeded()
                 run.trace.prefilledMilliseconds = run.elapsedMilliseconds()
             } else if (!ticket.hasAnswered) {
-                reader.health.failed(clock.now())
+                reader.unanswered(clock.now())
                 run.failed(reader, run.timedOut(reader.endpoint.address).copy(effect = Effect.NOT_RUN))
             }
             return prefilled
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -102,7 +102,7 @@
     private val metrics = GatewayMetrics()
     private val current = CurrentConfiguration(log)
     private val quotas = QuotaTable(clock) { settings.bounds.quotaWindowSeconds.seconds }
-    private val peers = PeerTable(self)
+    private val peers = PeerTable(self, incarnation)
     private val endpoints = EndpointTable(::cacheCapacity) { endpoint, change ->
         if (change == EndpointChange.APPEARED || change == EndpointChange.GONE) connections.forget(endpoint.address)
         log.record(DecisionEvent.EndpointChanged(endpoint, change))
@@ -275,10 +275,12 @@
         configurationVersion = current.configuration?.version ?: 0,
         evidenceAgeMilliseconds = current.evidence.age(clock.now())?.inWholeMilliseconds,
         changingEngines = duties.changingEngines(),
+        unreachableEndpoints = reports.unreachable(),
         charges = quotas.charges(),
         loads = reports.ownLoads(),
         promptsRead = choice.takePromptsRead(),
         windows = usage.snapshot().map { (window, counted) -> WindowReport(window, counted) },
+        endedProcesses = peers.endedProcesses(clock.now()),
     )
 
     private fun isReady(): Boolean = phase == InstancePhase.READY &&
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
@@ -30,12 +30,21 @@
             endpoints.state(load.endpoint)?.heard(report.instance, load.waitingTokens, load.requests, now)
         }
         report.changingEngines.forEach { endpoints.state(it)?.avoid(now + CHANGE_NEWS_LIFETIME) }
+        report.unreachableEndpoints.forEach { endpoints.state(it)?.unreachableElsewhere(now) }
         report.promptsRead.forEach { prompt ->
             val chain = prompt.chainHashes.zip(prompt.tokens, ::PromptPart)
             endpoints.state(prompt.engine)?.reads(chain)
         }
     }
 
+    /**
+     * Returns the endpoints that do not answer this instance. Where most of a service don't, the fault is more likely
+     * on this side, and nothing is told.
+     */
+    fun unreachable(): List<EndpointId> = endpoints.all().groupBy { it.endpoint.service }.values.flatMap { ofService ->
+        ofService.filter { it.isUnreachable }.takeIf { it.size <= ofService.size * GREATEST_TOLD_SHARE }.orEmpty()
+    }.map { it.endpoint.id }
+
     /** Returns the own work at endpoints, and once more those where it has just ended. */
     fun ownLoads(): List<EndpointLoadReport> {
         val busy = endpoints.all().filter { it.own.requests > 0 }
@@ -48,5 +57,8 @@
     private companion object {
         /** Several exchanges; the instance that orders the change repeats it until the engine has changed. */
         val CHANGE_NEWS_LIFETIME = 500.milliseconds
+
+        /** The greatest part of a service's endpoints that others are told not to use. */
+        const val GREATEST_TOLD_SHARE = 0.5
     }
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
@@ -31,6 +31,13 @@
     val counts: Map<OrganisationId, Long>,
 )
 
+/** Counts of a process that no longer tells them itself, as the sender heard them. */
+@Serializable
+data class EndedProcessReport(
+    val incarnation: Incarnation,
+    val windows: List<WindowReport>,
+)
+
 /**
  * What an instance tells the others several times a second. Each message stands for itself, so a lost one does no harm.
  *
@@ -38,6 +45,8 @@
  * @property sequence numbers the reports of one process
  * @property evidenceAgeMilliseconds how old the proof is that its configuration is the newest, null without one
  * @property changingEngines engines whose change of role the sender orders
+ * @property endedProcesses counts of processes that fell silent lately, for instances that started after them
+ * @property unreachableEndpoints endpoints that do not answer the sender
  * @property charges units charged to each organisation since the process started
  */
 @Serializable
@@ -52,8 +61,10 @@
     val configurationVersion: Long,
     val evidenceAgeMilliseconds: Long?,
     val changingEngines: List<EndpointId>,
+    val unreachableEndpoints: List<EndpointId>,
     val charges: Map<OrganisationId, Long>,
     val loads: List<EndpointLoadReport>,
     val promptsRead: List<PromptReadReport>,
     val windows: List<WindowReport>,
+    val endedProcesses: List<EndedProcessReport>,
 )
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerTable.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerTable.kt
@@ -17,11 +17,15 @@
 )
 
 /** The other instances: those registered in the store, and what each told last. */
-class PeerTable(private val self: InstanceId) {
+class PeerTable(
+    private val self: InstanceId,
+    private val own: Incarnation,
+) {
     private class Heard(val report: PeerReport, val at: MonotonicTime)
 
     private val records = HashMap<InstanceId, InstanceRecord>()
     private val heard = HashMap<InstanceId, Heard>()
+    private val lastHeard = HashMap<Incarnation, MonotonicTime>()
     private val usage = sortedMapOf<Long, MutableMap<Incarnation, Map<OrganisationId, Long>>>()
 
     /** The other instances that are registered. */
@@ -47,11 +51,34 @@
             if (!isSameProcess && report.startedAtMilliseconds < last.startedAtMilliseconds) return false
         }
         heard[report.instance] = Heard(report, now)
+        lastHeard[report.incarnation] = now
         report.windows.forEach { usage.getOrPut(it.window) { mutableMapOf() }[report.incarnation] = it.counts }
+        report.endedProcesses.forEach { takeEnded(it, now) }
         while (usage.size > KEPT_WINDOWS) usage.remove(usage.firstKey())
+        lastHeard.values.removeIf { now - it > ENDED_KEPT }
         return true
     }
 
+    /** Takes counts at second hand. Those of a process only grow, so that the greater ones are the later ones. */
+    private fun takeEnded(ended: EndedProcessReport, now: MonotonicTime) {
+        if (ended.incarnation == own) return
+        lastHeard.putIfAbsent(ended.incarnation, now)
+        for (counted in ended.windows) {
+            usage.getOrPut(counted.window) { mutableMapOf() }.merge(ended.incarnation, counted.counts) { known, told ->
+                if (told.values.sum() > known.values.sum()) told else known
+            }
+        }
+    }
+
+    /** Returns what processes counted that fell silent lately. */
+    fun endedProcesses(now: MonotonicTime): List<EndedProcessReport> =
+        lastHeard.filterValues { now - it > SILENCE }.keys.mapNotNull { ended ->
+            val newest = usage.keys.lastOrNull() ?: return@mapNotNull null
+            val counted = usage.tailMap(newest - UNREPORTED_WINDOWS)
+                .mapNotNull { (window, counts) -> counts[ended]?.let { WindowReport(window, it) } }
+            EndedProcessReport(ended, counted).takeIf { counted.isNotEmpty() }
+        }
+
     /** Returns the reports of the instances that live as far as is known at [now]. */
     fun live(now: MonotonicTime): List<PeerReport> =
         heard.values.filter { now - it.at < SILENCE && it.report.instance in records }.map { it.report }
@@ -85,6 +112,12 @@
         /** Below the age at which an instance can no longer serve requests with keys. */
         val FRESH_EVIDENCE = 2800.milliseconds
         const val KEPT_WINDOWS = 12
+
+        /** Windows before the newest that may not be reported yet. */
+        const val UNREPORTED_WINDOWS = 2L
+
+        /** Longer than such windows last. */
+        val ENDED_KEPT = 30.seconds
     }
 }
 
--- /dev/null
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/instance/PeerReportsSpec.kt
@@ -0,0 +1,113 @@
+package org.nutmegspring.gateway.instance
+
+import org.junit.jupiter.api.Nested
+import org.nutmegspring.gateway.TestClock
+import org.nutmegspring.gateway.endpointOf
+import org.nutmegspring.gateway.endpoints.EndpointState
+import org.nutmegspring.gateway.endpoints.EndpointTable
+import org.nutmegspring.gateway.forwarding.QuotaTable
+import org.nutmegspring.gateway.peers.PeerReport
+import org.nutmegspring.gateway.peers.PeerTable
+import org.nutmegspring.gateway.store.FeedEntry
+import org.nutmegspring.gateway.store.Listing
+import org.nutmegspring.identity.DataCentreId
+import org.nutmegspring.identity.EndpointId
+import org.nutmegspring.identity.Incarnation
+import org.nutmegspring.identity.InstanceId
+import org.nutmegspring.membership.InstancePhase
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class PeerReportsSpec {
+    private val clock = TestClock()
+    private val table = EndpointTable({ 1_000 }) { _, _ -> }
+    private val self = InstanceId("self")
+    private val reports =
+        PeerReports(self, PeerTable(self, Incarnation(9)), QuotaTable(clock) { 8.seconds }, table, clock)
+    private val service = endpointOf("any").service
+
+    init {
+        val entries = List(4) { FeedEntry("e$it", endpointOf("e$it")) }
+        table.replace(Listing(entries, 1), null, clock.now())
+    }
+
+    private fun endpoint(name: String): EndpointState = checkNotNull(table.state(EndpointId(name)))
+
+    private fun usable(): List<String> = table.usable(service, clock.now()).map { it.endpoint.id.value }
+
+    private fun report(changing: List<String> = emptyList(), unreachable: List<String> = emptyList()) = PeerReport(
+        instance = InstanceId("a"),
+        incarnation = Incarnation(1),
+        startedAtMilliseconds = 0,
+        sequence = 1,
+        dataCentre = DataCentreId("rennes"),
+        callerAddress = "a:1",
+        phase = InstancePhase.READY,
+        configurationVersion = 1,
+        evidenceAgeMilliseconds = 0,
+        changingEngines = changing.map(::EndpointId),
+        unreachableEndpoints = unreachable.map(::EndpointId),
+        charges = emptyMap(),
+        loads = emptyList(),
+        promptsRead = emptyList(),
+        windows = emptyList(),
+        endedProcesses = emptyList(),
+    )
+
+    @Nested
+    inner class `when another instance orders an engine to change` {
+        @Test
+        fun `the engine gets no work while that is told`() {
+            reports.hear(report(changing = listOf("e1")))
+            assertEquals(listOf("e0", "e2", "e3"), usable())
+            clock.pass(1.seconds)
+            assertEquals(4, usable().size)
+        }
+    }
+
+    @Nested
+    inner class `when an endpoint does not answer another instance` {
+        @Test
+        fun `it gets no work here, without a failed try of its own`() {
+            reports.hear(report(unreachable = listOf("e2")))
+            assertEquals(listOf("e0", "e1", "e3"), usable())
+        }
+
+        @Test
+        fun `it goes on to be used where it has just answered`() {
+            endpoint("e2").answered(10.milliseconds, 10.milliseconds, clock.now())
+            reports.hear(report(unreachable = listOf("e2")))
+            assertEquals(4, usable().size)
+        }
+
+        @Test
+        fun `it is used when there is no other`() {
+            reports.hear(report(unreachable = List(4) { "e$it" }))
+            assertEquals(4, usable().size)
+        }
+    }
+
+    @Nested
+    inner class `when endpoints do not answer this instance` {
+        private fun silence(vararg names: String) = names.forEach { name ->
+            repeat(2) { endpoint(name).unanswered(clock.now()) }
+        }
+
+        @Test
+        fun `the others are told, until they answer again`() {
+            silence("e3")
+            assertEquals(listOf(EndpointId("e3")), reports.unreachable())
+            endpoint("e3").health.started(clock.now())
+            endpoint("e3").succeeded()
+            assertEquals(emptyList(), reports.unreachable())
+        }
+
+        @Test
+        fun `nothing is told when most of a service are silent`() {
+            silence("e0", "e1", "e2")
+            assertEquals(emptyList(), reports.unreachable())
+        }
+    }
+}
