--- a/command-line/src/main/kotlin/org/nutmegspring/commandline/CommandProvider.kt
+++ b/command-line/src/main/kotlin/org/nutmegspring/commandline/CommandProvider.kt
@@ -4,6 +4,7 @@
 import kotlinx.cli.Subcommand
 import org.nutmegspring.commandline.administration.AdminCommand
 import org.nutmegspring.commandline.demo.DemoCommand
+import org.nutmegspring.commandline.explain.ExplainCommand
 import org.nutmegspring.commandline.measure.MeasureCommand
 import org.nutmegspring.commandline.standin.StandInCommand
 
@@ -15,6 +16,7 @@
         ServeCommand(context),
         GatewayCommand(context),
         CheckCommand(context),
+        ExplainCommand(context),
         AdminCommand(context),
         DemoCommand(context),
         StandInCommand(context),
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/GatewayLogs.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/GatewayLogs.kt
@@ -5,17 +5,27 @@
 import ch.qos.logback.classic.LoggerContext
 import ch.qos.logback.classic.encoder.JsonEncoder
 import ch.qos.logback.classic.spi.ILoggingEvent
-import ch.qos.logback.core.ConsoleAppender
+import ch.qos.logback.core.OutputStreamAppender
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
+import java.io.OutputStream
+
+/** Makes the process write its logs as JSON to standard output, without ever waiting for who reads them. */
+fun configureGatewayLogs() {
+    val context = LoggerFactory.getILoggerFactory() as LoggerContext
+    val root = context.getLogger(Logger.ROOT_LOGGER_NAME)
+    root.detachAndStopAllAppenders()
+    root.addAppender(boundedAppender(context, System.out))
+    root.level = Level.INFO
+    context.getLogger("io.netty").level = Level.WARN
+}
 
 /**
- * Makes the process write its logs as JSON to standard output.
+ * Returns an appender that writes lines as JSON to [output].
  *
  * Lines wait in a bounded queue and are dropped when it is full, so that a reader that stops never blocks a request.
  */
-fun configureGatewayLogs() {
-    val context = LoggerFactory.getILoggerFactory() as LoggerContext
+internal fun boundedAppender(context: LoggerContext, output: OutputStream): AsyncAppender {
     val jsonEncoder = JsonEncoder().apply {
         this.context = context
         setWithSequenceNumber(false)
@@ -28,24 +38,20 @@
         setWithFormattedMessage(true)
         start()
     }
-    val console = ConsoleAppender<ILoggingEvent>().apply {
+    val writer = OutputStreamAppender<ILoggingEvent>().apply {
         this.context = context
         encoder = jsonEncoder
+        outputStream = output
         start()
     }
-    val queue = AsyncAppender().apply {
+    return AsyncAppender().apply {
         this.context = context
         queueSize = QUEUED_LINES
         isNeverBlock = true
         discardingThreshold = 0
-        addAppender(console)
+        addAppender(writer)
         start()
     }
-    val root = context.getLogger(Logger.ROOT_LOGGER_NAME)
-    root.detachAndStopAllAppenders()
-    root.addAppender(queue)
-    root.level = Level.INFO
-    context.getLogger("io.netty").level = Level.WARN
 }
 
 /** Some seconds of lines at the usual rate. */
