Believe reports for longer where a large fleet tells less often

With 74 instances each reports every 740 ms. Loads were forgotten after 1 s and instances after 1.5 s, so that one or two lost datagrams hid them. A report now tells the time until the next, and holds for four of them. Not measured on a site yet.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/RoleOrderer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/RoleOrderer.kt
@@ -11,6 +11,7 @@
 import org.nutmegspring.roles.RoleChange
 import org.nutmegspring.roles.StageBalance
 import org.nutmegspring.time.MonotonicTime
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -20,6 +21,7 @@
  * An engine refuses work while it changes. So the change is told to the other instances first, and ordered when they
  * have heard of it.
  *
+ * @param tellTime within which time the other instances have heard what this one tells
  * @param isGrowing whether a service's endpoints were just ordered and most are still to come
  */
 class RoleOrderer(
@@ -27,6 +29,7 @@
     private val endpoints: EndpointTable,
     private val balance: StageBalance,
     private val isGrowing: (ServiceId) -> Boolean,
+    private val tellTime: () -> Duration,
 ) {
     private class Pending(val role: EngineRole, val since: MonotonicTime) {
         /** Until when the engine refuses work, as far as is known. */
@@ -57,7 +60,7 @@
         val changes = balance.changes(engines.mapNotNull(::balanced)).filter { it.engine !in ordered }
         if (changes.isEmpty()) return
         changes.forEach { announce(it) }
-        delay(ANNOUNCED_BEFORE)
+        delay(tellTime())
         changes.forEach { change -> endpoints.state(change.engine)?.let { send(it, change) } }
     }
 
@@ -103,9 +106,6 @@
         /** Longer than the pauses between engines that start together, shorter than between those of a release. */
         val SETTLING = 700.milliseconds
 
-        /** Several exchanges between instances. */
-        val ANNOUNCED_BEFORE = 300.milliseconds
-
         /** The time that an engine takes to change, as platforms state it, and a margin for what runs there. */
         val CHANGE_TIME = 5.seconds
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
@@ -22,7 +22,7 @@
     var endpoint: ServingEndpoint,
     cacheCapacityTokens: Long,
 ) {
-    private class PeerLoad(val load: EngineLoad, var heardAt: MonotonicTime)
+    private class PeerLoad(val load: EngineLoad, var until: MonotonicTime)
 
     private val peers = HashMap<InstanceId, PeerLoad>()
     private val belief = PrefixCacheBelief(cacheCapacityTokens)
@@ -77,10 +77,10 @@
         health.succeeded()
     }
 
-    /** Records that it does not answer another instance. It is left out for a while unless it answers this one. */
-    fun unreachableElsewhere(now: MonotonicTime) {
+    /** Records that it does not answer another instance. It is left out [until] then unless it answers this one. */
+    fun unreachableElsewhere(now: MonotonicTime, until: MonotonicTime) {
         val hasJustAnswered = lastAnswerAt?.let { now - it < RECENT_ANSWER } ?: false
-        if (!hasJustAnswered) avoid(now + NEWS_LIFETIME)
+        if (!hasJustAnswered) avoid(until)
     }
 
     /** Leaves the endpoint out until [until], unless it changes before. */
@@ -102,11 +102,11 @@
     /** Records that the endpoint reads the prompt [chain]. */
     fun reads(chain: List<PromptPart>) = belief.read(chain)
 
-    /** Takes what another instance told of its work at the endpoint. */
-    fun heard(instance: InstanceId, waitingTokens: Long, requests: Int, now: MonotonicTime) {
-        val peer = peers.getOrPut(instance) { PeerLoad(EngineLoad(), now) }
+    /** Takes what another instance told of its work at the endpoint, to be believed [until] it tells anew. */
+    fun heard(instance: InstanceId, waitingTokens: Long, requests: Int, until: MonotonicTime) {
+        val peer = peers.getOrPut(instance) { PeerLoad(EngineLoad(), until) }
         peer.load.replace(waitingTokens, requests)
-        peer.heardAt = now
+        peer.until = until
     }
 
     /** Records that an answer took [actual] where [expected] was expected. */
@@ -143,7 +143,7 @@
     )
 
     private fun freshPeers(now: MonotonicTime): List<EngineLoad> =
-        peers.values.filter { now - it.heardAt < PEER_LOAD_LIFETIME }.map { it.load }
+        peers.values.filter { now < it.until }.map { it.load }
 
     /** An endpoint that was slow and is avoided gets another chance after a while. */
     private fun currentSlowdown(now: MonotonicTime): Double {
@@ -169,11 +169,6 @@
         /** An endpoint under work answers more often; what another instance sees may be its own connection. */
         val RECENT_ANSWER = 300.milliseconds
 
-        /** Several exchanges; the other instance repeats what it sees. */
-        val NEWS_LIFETIME = 400.milliseconds
-
-        /** Several exchanges; later the work told of has ended. */
-        val PEER_LOAD_LIFETIME = 1.seconds
         val SHORTEST_EXPECTATION = 20.milliseconds
         const val LEAST_SLOWDOWN = 0.5
         const val GREATEST_SLOWDOWN = 8.0
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -124,6 +124,7 @@
             phase = { phase },
             readyPeers = { peers.ready(clock.now()) },
             services = { current.configuration?.services?.values.orEmpty() },
+            tellTime = { PeerExchange.interval(peers.registered.size) * TELL_INTERVALS },
             counted = ::countedIn,
             endpoints = endpoints,
         ),
@@ -269,6 +270,7 @@
         incarnation = incarnation,
         startedAtMilliseconds = startedAtMilliseconds,
         sequence = ++sequence,
+        intervalMilliseconds = PeerExchange.interval(peers.registered.size).inWholeMilliseconds,
         dataCentre = settings.instance.dataCentre,
         callerAddress = settings.addresses.callers,
         phase = phase,
@@ -346,6 +348,9 @@
         val REGISTER_PAUSE = 300.milliseconds
         val TICK = 100.milliseconds
 
+        /** Reports until the others have heard something, when one is lost on the way. */
+        const val TELL_INTERVALS = 3
+
         /** Callers learn of a departing instance within this time. */
         const val ADDRESS_KEEP_SECONDS = 2
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceDuties.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceDuties.kt
@@ -27,6 +27,7 @@
 import org.nutmegspring.roles.StageBalance
 import org.nutmegspring.spending.FleetSizing
 import org.nutmegspring.time.MonotonicClock
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -34,12 +35,14 @@
  * What the duties need to know of the instance.
  *
  * @property readyPeers the other instances that could take the duties
+ * @property tellTime within which time the other instances have heard what this one tells
  * @property counted the requests of each organisation in a usage window, over all instances
  */
 internal class DutyInputs(
     val phase: () -> InstancePhase,
     val readyPeers: () -> Set<InstanceId>,
     val services: () -> Collection<ServiceDefinition>,
+    val tellTime: () -> Duration,
     val counted: (Long) -> Map<OrganisationId, Long>,
     val endpoints: EndpointTable,
 )
@@ -69,7 +72,8 @@
     private val isStopping: Boolean get() = inputs.phase() == InstancePhase.DRAINING
     private val caller: DutyCaller = DutyCaller(self.instance, ::held, platform.duties, clock, log)
     private val endpointOrderer = EndpointOrderer(caller, inputs.services, inputs.endpoints, FleetSizing())
-    private val roleOrderer = RoleOrderer(caller, inputs.endpoints, StageBalance(), endpointOrderer::isGrowing)
+    private val roleOrderer =
+        RoleOrderer(caller, inputs.endpoints, StageBalance(), endpointOrderer::isGrowing, inputs.tellTime)
     private var loggedLease: HeldLease? = null
 
     /** Whether this instance holds the duties. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
@@ -10,6 +10,7 @@
 import org.nutmegspring.placement.PromptPart
 import org.nutmegspring.time.MonotonicClock
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Takes up what other instances report, and tells them of the own work at endpoints. */
 internal class PeerReports(
@@ -26,11 +27,13 @@
         val now = clock.now()
         if (report.instance == self || !peers.hear(report, now)) return
         quotas.heard(report)
+        val lifetime = report.lifetime(LOAD_LIFETIME)
+        val newsUntil = now + report.lifetime(NEWS_LIFETIME)
         report.loads.forEach { load ->
-            endpoints.state(load.endpoint)?.heard(report.instance, load.waitingTokens, load.requests, now)
+            endpoints.state(load.endpoint)?.heard(report.instance, load.waitingTokens, load.requests, now + lifetime)
         }
-        report.changingEngines.forEach { endpoints.state(it)?.avoid(now + CHANGE_NEWS_LIFETIME) }
-        report.unreachableEndpoints.forEach { endpoints.state(it)?.unreachableElsewhere(now) }
+        report.changingEngines.forEach { endpoints.state(it)?.avoid(newsUntil) }
+        report.unreachableEndpoints.forEach { endpoints.state(it)?.unreachableElsewhere(now, newsUntil) }
         report.promptsRead.forEach { prompt ->
             val chain = prompt.chainHashes.zip(prompt.tokens, ::PromptPart)
             endpoints.state(prompt.engine)?.reads(chain)
@@ -55,8 +58,11 @@
     }
 
     private companion object {
-        /** Several exchanges; the instance that orders the change repeats it until the engine has changed. */
-        val CHANGE_NEWS_LIFETIME = 500.milliseconds
+        /** Several exchanges in a small fleet; later the work told of has ended. */
+        val LOAD_LIFETIME = 1.seconds
+
+        /** Several exchanges in a small fleet; the sender repeats what still holds. */
+        val NEWS_LIFETIME = 500.milliseconds
 
         /** The greatest part of a service's endpoints that others are told not to use. */
         const val GREATEST_TOLD_SHARE = 0.5
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerExchange.kt
@@ -58,9 +58,6 @@
         channel.flush()
     }
 
-    /** The more peers there are, the less often each is told, so that the messages of one instance stay bounded. */
-    private fun interval(peers: Int): Duration = maxOf(SHORTEST_INTERVAL, INTERVAL_PER_PEER * peers)
-
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
         override fun channelRead0(context: ChannelHandlerContext, packet: DatagramPacket) {
             try {
@@ -78,10 +75,13 @@
         }
     }
 
-    private companion object {
+    companion object {
+        /** The more peers there are, the less often each is told, so that the messages of one instance stay bounded. */
+        fun interval(peers: Int): Duration = maxOf(SHORTEST_INTERVAL, INTERVAL_PER_PEER * peers)
+
         /** Loads change within a few tens of milliseconds; each message costs the sender and the receivers. */
-        val SHORTEST_INTERVAL = 100.milliseconds
-        val INTERVAL_PER_PEER = 10.milliseconds
-        const val MAXIMUM_DATAGRAM_BYTES = 65_507
+        private val SHORTEST_INTERVAL = 100.milliseconds
+        private val INTERVAL_PER_PEER = 10.milliseconds
+        private const val MAXIMUM_DATAGRAM_BYTES = 65_507
     }
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
@@ -7,6 +7,8 @@
 import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.identity.OrganisationId
 import org.nutmegspring.membership.InstancePhase
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** The work of the sender at one endpoint. */
 @Serializable
@@ -43,6 +45,7 @@
  *
  * @property startedAtMilliseconds when the process started, in milliseconds since the epoch
  * @property sequence numbers the reports of one process
+ * @property intervalMilliseconds the time until the sender's next report
  * @property evidenceAgeMilliseconds how old the proof is that its configuration is the newest, null without one
  * @property changingEngines engines whose change of role the sender orders
  * @property endedProcesses counts of processes that fell silent lately, for instances that started after them
@@ -55,6 +58,7 @@
     val incarnation: Incarnation,
     val startedAtMilliseconds: Long,
     val sequence: Long,
+    val intervalMilliseconds: Long,
     val dataCentre: DataCentreId,
     val callerAddress: String,
     val phase: InstancePhase,
@@ -67,4 +71,10 @@
     val promptsRead: List<PromptReadReport>,
     val windows: List<WindowReport>,
     val endedProcesses: List<EndedProcessReport>,
-)
+) {
+    /** How long what the report tells is believed: [least], or longer where reports are rare. */
+    fun lifetime(least: Duration): Duration = maxOf(least, intervalMilliseconds.milliseconds * LIFETIME_INTERVALS)
+}
+
+/** Reports that may be lost in a row before what was told is forgotten. */
+private const val LIFETIME_INTERVALS = 4
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerTable.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerTable.kt
@@ -81,7 +81,9 @@
 
     /** Returns the reports of the instances that live as far as is known at [now]. */
     fun live(now: MonotonicTime): List<PeerReport> =
-        heard.values.filter { now - it.at < SILENCE && it.report.instance in records }.map { it.report }
+        heard.values.filter {
+            now - it.at < it.report.lifetime(SILENCE) && it.report.instance in records
+        }.map { it.report }
 
     /** Returns the instances that live and are ready as far as is known at [now]. */
     fun ready(now: MonotonicTime): Set<InstanceId> =
@@ -106,7 +108,7 @@
     private fun Long?.isFresh() = this != null && milliseconds < FRESH_EVIDENCE
 
     private companion object {
-        /** Many exchanges; a shorter silence happens when messages are lost. */
+        /** Many exchanges in a small fleet; a shorter silence happens when messages are lost. */
         val SILENCE = 1500.milliseconds
 
         /** Below the age at which an instance can no longer serve requests with keys. */
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/RoleOrdererSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/RoleOrdererSpec.kt
@@ -27,7 +27,7 @@
 
     private fun TestScope.start(): RoleOrderer {
         val caller = dutyCaller(orders) { isHeld }
-        val orderer = RoleOrderer(caller, table, StageBalance()) { false }
+        val orderer = RoleOrderer(caller, table, StageBalance(), { false }, { 300.milliseconds })
         backgroundScope.launch { orderer.run() }
         return orderer
     }
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/instance/PeerReportsSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/instance/PeerReportsSpec.kt
@@ -42,6 +42,7 @@
         incarnation = Incarnation(1),
         startedAtMilliseconds = 0,
         sequence = 1,
+        intervalMilliseconds = 100,
         dataCentre = DataCentreId("rennes"),
         callerAddress = "a:1",
         phase = InstancePhase.READY,
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/peers/PeerTableSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/peers/PeerTableSpec.kt
@@ -26,12 +26,14 @@
         phase: InstancePhase = InstancePhase.READY,
         evidenceAge: Long? = 100,
         windows: List<WindowReport> = emptyList(),
+        interval: Long = 100,
         endedProcesses: List<EndedProcessReport> = emptyList(),
     ) = PeerReport(
         instance = InstanceId(name),
         incarnation = Incarnation(incarnation),
         startedAtMilliseconds = startedAt,
         sequence = sequence,
+        intervalMilliseconds = interval,
         dataCentre = DataCentreId("rennes"),
         callerAddress = "$name:1",
         phase = phase,
@@ -64,6 +66,16 @@
             assertEquals(listOf("self:1"), addresses())
         }
 
+        @Test
+        fun `an instance of a large fleet, which tells less often, is believed to live for longer`() {
+            register("a")
+            table.hear(report("a", interval = 740), clock.now())
+            clock.pass(2.seconds)
+            assertEquals(listOf("a:1", "self:1"), addresses())
+            clock.pass(1.seconds)
+            assertEquals(listOf("self:1"), addresses())
+        }
+
         @Test
         fun `instances whose configuration is not proved are named only when there is none other`() {
             register("a", "b")
