Let UsageRuntimeSpec run on a clock of its own

Cause: the spec counted on the wall clock, so that counts on both sides of the end of a 200 ms window made two figures, and a clock that jumped made it wait for ever. The time is now the spec's and moves by parts of a window.

--- a/node/src/test/kotlin/org/nutmegspring/node/control/UsageRuntimeSpec.kt
+++ b/node/src/test/kotlin/org/nutmegspring/node/control/UsageRuntimeSpec.kt
@@ -28,6 +28,7 @@
 import org.nutmegspring.standin.platform.PlatformStandIn
 import org.nutmegspring.storeclient.httpPlatform
 import org.nutmegspring.time.systemMonotonicClock
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.time.Duration
@@ -72,14 +73,17 @@
             val scope = CoroutineScope(Job() + Dispatchers.Default)
             val options = UsageOptions(window = 200.milliseconds, grace = 50.milliseconds, shards = 2)
             val clock = systemMonotonicClock()
-            val time = System::currentTimeMillis
+            val time = AtomicLong(WINDOW_START)
             val parts =
-                UsageParts(Alone.self.incarnation, store, server.address, Alone, Alone, clock, time, options)
+                UsageParts(Alone.self.incarnation, store, server.address, Alone, Alone, clock, time::get, options)
             val usage = UsageRuntime(parts)
             usage.start(scope)
             repeat(5) { usage.count(OrganisationId("tags"), 10, 2) }
             usage.count(null, 1, 1)
-            TestFleet.awaitTrue { platform.usage.reports().sumOf { it.figures.size } > 0 }
+            TestFleet.awaitTrue {
+                time.addAndGet(STEP)
+                platform.usage.reports().sumOf { it.figures.size } > 0
+            }
             val figures = platform.usage.reports().flatMap { it.figures }
             assertEquals(Triple(50L, 10L, 5L), figures.single().run { Triple(promptTokens, outputTokens, executions) })
             usage.release()
@@ -87,4 +91,12 @@
             listOf(usage, store, server).forEach { it.close() }
         }
     }
+
+    private companion object {
+        /** A time at which a window begins, in milliseconds since the epoch. */
+        const val WINDOW_START = 1_000_000L
+
+        /** A part of a window. */
+        const val STEP = 50L
+    }
 }
