--- a/decisions/src/main/kotlin/org/nutmegspring/quota/SharedQuota.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/quota/SharedQuota.kt
@@ -47,7 +47,7 @@
     private val seen = HashMap<InstanceId, PeerCharges>()
     private val charged = SlidingSum(window, now)
 
-    /** Units that this process charged since its start. */
+    /** Units that this process charged since its start, without those it gave back. */
     var chargedUnits: Long = 0
         private set
 
@@ -58,11 +58,11 @@
         rate = changed
     }
 
-    /** Takes what another instance charged since it was last heard. */
+    /** Takes what another instance charged, or gave back, since it was last heard. */
     fun heard(charges: PeerCharges, now: MonotonicTime) {
         val last = seen.put(charges.instance, charges)
         val counted = if (last != null && last.incarnation == charges.incarnation) last.chargedUnits else 0
-        charged.add(maxOf(0, charges.chargedUnits - counted), now)
+        charged.add(charges.chargedUnits - counted, now)
     }
 
     /** Tells which of the [others] in the fleet take part; those not heard lately keep their part of the quota. */
@@ -87,6 +87,7 @@
     /** Returns [units] of a charge whose request did not run. */
     fun refund(units: Long, now: MonotonicTime) {
         charged.add(-units, now)
+        chargedUnits -= units
     }
 
     private fun allowance(of: QuotaRate): Double = of.unitsPerSecond * window.toDouble(DurationUnit.SECONDS) + of.burst
--- a/decisions/src/test/kotlin/org/nutmegspring/quota/SharedQuotaSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/quota/SharedQuotaSpec.kt
@@ -75,6 +75,24 @@
         }
     }
 
+    @Nested
+    inner class `when requests that were charged are refused, since endpoints are full` {
+        @Test
+        fun `the other instances learn that their units are free again`() {
+            val (here, there) = List(2) { SharedQuota(rate, window, at(0)) }
+            fun tell(time: Int) {
+                there.heard(PeerCharges(ids[0], Incarnation(1), here.chargedUnits, at(time)), at(time))
+                there.members(listOf(ids[0]), at(time))
+            }
+            assertEquals(QuotaVerdict.Admitted, here.charge(limit, at(0)))
+            tell(100)
+            assertIs<QuotaVerdict.Exceeded>(there.charge(5_000, at(100)))
+            here.refund(limit, at(150))
+            tell(200)
+            assertEquals(QuotaVerdict.Admitted, there.charge(5_000, at(200)))
+        }
+    }
+
     @Nested
     inner class `while an organisation keeps to its rate` {
         @Test
