Let no two instances leave a silent endpoint out for each other

Ruled out: the quotas and the stand-ins that came with the same runs; the restart of the instances alone brought all readers back. Now an instance that found it out itself tries on its own schedule, and tells it only while it does not try.

--- a/decisions/src/main/kotlin/org/nutmegspring/admission/FirstOutputLimit.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/admission/FirstOutputLimit.kt
@@ -36,10 +36,13 @@
         shortestObjective: Duration,
         patience: Duration,
     ): FirstOutputVerdict {
-        val excess = maxOf(wait - shortestObjective * share, expected - patience)
+        val excess = maxOf(wait - longestWait(shortestObjective), expected - patience)
         return if (excess <= Duration.ZERO) FirstOutputVerdict.Send else FirstOutputVerdict.Refuse(excess)
     }
 
+    /** Returns how long a request may wait before it is read. */
+    fun longestWait(shortestObjective: Duration): Duration = shortestObjective * share
+
     private companion object {
         /** Leaves time for reading a usual prompt and for its first step. */
         const val DEFAULT_SHARE = 0.7
--- a/decisions/src/main/kotlin/org/nutmegspring/placement/EnginePlacement.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/placement/EnginePlacement.kt
@@ -30,11 +30,13 @@
  * @property promptTokens tokens of the whole prompt
  * @property sharedTokens tokens of the prompt that other requests begin with as well
  * @property chainKey identifies the shared parts, so that all instances rank the engines for them alike
+ * @property longestWaitMilliseconds the wait above which the work would be refused
  */
 data class PlacedWork(
     val promptTokens: Int,
     val sharedTokens: Int,
     val chainKey: Long,
+    val longestWaitMilliseconds: Double = Double.MAX_VALUE,
 )
 
 /** Where a request goes. [expectedMilliseconds] is the time until its first output. */
@@ -84,15 +86,19 @@
  * Load pattern: the mix swings between long prompts with much in common and short ones, faster than engines can change
  * roles, and reading is what binds. A request goes where its first output is expected soonest, counting the tokens
  * ahead of it and those of its prompt that the engine does not hold. Reading shared tokens again costs extra by the part
- * of the readers that are busy: it takes time from others only when they would use it.
+ * of the readers that are busy: it takes time from others only when they would use it. An engine with too long a queue
+ * is passed over while others have room, whatever it holds.
  */
 class EnginePlacement(private val speeds: EngineSpeeds = EngineSpeeds()) {
     /** Returns the plan with the least cost for [work] from [from], or null when no engine can take it. */
     fun plan(work: PlacedWork, candidates: List<EngineCandidate>, from: DataCentreId): EnginePlan? {
         val usable = candidates.filter { it.requests < it.slots * FULL_SHARE }.ifEmpty { candidates }
+        val ready = usable.filter { waitMilliseconds(it) <= work.longestWaitMilliseconds }
         val readAgainWeight = READ_AGAIN_WEIGHT * busyShare(usable.filter { it.role != EngineRole.DECODE })
         val generators = usable.filter { it.role != EngineRole.PREFILL }
-        val reader = usable.filter { it.role == EngineRole.PREFILL }.minByOrNull { readCost(it, work, readAgainWeight) }
+        val reader = ready.filter { it.role == EngineRole.PREFILL }
+            .ifEmpty { usable.filter { it.role == EngineRole.PREFILL } }
+            .minByOrNull { readCost(it, work, readAgainWeight) }
         val direct = generators
             .filter { reader == null || it.role == EngineRole.MIXED || unread(it, work) <= SMALL_PROMPT_TOKENS }
             .minByOrNull { directCost(it, work, from, readAgainWeight) }
--- a/decisions/src/main/kotlin/org/nutmegspring/quota/SharedQuota.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/quota/SharedQuota.kt
@@ -4,7 +4,7 @@
 import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
 /** The rate of an organisation over all instances, in units per second, and the units it may use beyond the rate. */
@@ -13,12 +13,18 @@
     val burst: Double,
 )
 
-/** What another process told of its charges to one organisation. */
+/**
+ * What another process told of its charges to one organisation.
+ *
+ * @property interval the time until it tells again
+ * @property believedUntil when it counts as unheard, unless it tells again
+ */
 data class PeerCharges(
     val instance: InstanceId,
     val incarnation: Incarnation,
     val chargedUnits: Long,
-    val heardAt: MonotonicTime,
+    val interval: Duration,
+    val believedUntil: MonotonicTime,
 )
 
 /** The verdict on one request. */
@@ -36,7 +42,8 @@
  *
  * Every instance counts for the whole fleet: what it charges itself, and what the others tell that they charged.
  * Load pattern: one organisation sends many times its rate through all instances at once. Charges are seen by the
- * others after one exchange, and what ran ahead leaves less for the rest of the window.
+ * others after one exchange, and what ran ahead leaves less for the rest of the window. Until then they are expected to
+ * go on as in the last second: in a large fleet, which tells less often, much is charged unseen.
  *
  * An instance that is not heard may be charging its part unseen. Then only the part of the instances that are heard is
  * given out, so that separated groups together stay within the quota.
@@ -46,6 +53,8 @@
     private var part = 1.0
     private val seen = HashMap<InstanceId, PeerCharges>()
     private val charged = SlidingSum(window, now)
+    private val lately = SlidingSum(LATELY, now)
+    private var interval = Duration.ZERO
 
     /** Units that this process charged since its start, without those it gave back. */
     var chargedUnits: Long = 0
@@ -63,19 +72,21 @@
         val last = seen.put(charges.instance, charges)
         val counted = if (last != null && last.incarnation == charges.incarnation) last.chargedUnits else 0
         charged.add(charges.chargedUnits - counted, now)
+        lately.add(charges.chargedUnits - counted, now)
+        interval = charges.interval
     }
 
     /** Tells which of the [others] in the fleet take part; those not heard lately keep their part of the quota. */
     fun members(others: Collection<InstanceId>, now: MonotonicTime) {
         seen.keys.retainAll(others.toSet())
-        val fresh = others.count { id -> seen[id]?.let { now - it.heardAt < HEARD_WITHIN } ?: false }
+        val fresh = others.count { id -> seen[id]?.let { now < it.believedUntil } ?: false }
         part = (fresh + 1.0) / (others.size + 1)
     }
 
     /** Charges [units] at [now] when the organisation is within its quota. */
     fun charge(units: Long, now: MonotonicTime): QuotaVerdict {
         val limit = allowance(rate) * part
-        val free = limit - charged.sum(now)
+        val free = limit - charged.sum(now) - unseen(now)
         if (free >= minOf(units.toDouble(), limit)) {
             charged.add(units, now)
             chargedUnits += units
@@ -90,10 +101,13 @@
         chargedUnits -= units
     }
 
+    /** What the others may have charged since they told last, at most an interval ago. */
+    private fun unseen(now: MonotonicTime): Double = maxOf(0, lately.sum(now)) * (interval / LATELY)
+
     private fun allowance(of: QuotaRate): Double = of.unitsPerSecond * window.toDouble(DurationUnit.SECONDS) + of.burst
 
     private companion object {
-        /** Several exchanges between instances; a shorter silence is usual when messages are lost. */
-        val HEARD_WITHIN = 1500.milliseconds
+        /** Longer than the interval of a large fleet, shorter than a swing of load. */
+        val LATELY = 1.seconds
     }
 }
--- a/decisions/src/main/kotlin/org/nutmegspring/spending/FleetOrders.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/spending/FleetOrders.kt
@@ -19,7 +19,8 @@
  * The most endpoints of a data centre count both kinds, so that steady ones make room step by step: those are given
  * back where as many interruptible ones serve as there was room for. A number that was ordered is not ordered again
  * while endpoints are replaced one by one; one that is missed for long is. While the service is idle there is nothing
- * to lose, and the fleet takes its shape at once.
+ * to lose, and the fleet takes its shape at once. Where interruptible endpoints were taken away and none are to be had,
+ * steady ones stand in for a part of them.
  *
  * @param most the most endpoints in a data centre
  */
@@ -39,21 +40,38 @@
         now: MonotonicTime,
     ): List<CountOrder> {
         return targets.flatMap { (place, target) ->
-            val here = standing[place] ?: EndpointCounts(0, 0)
-            if (here.steady > target.steady) excessSince.getOrPut(place) { now } else excessSince.remove(place)
-            val free = most - (if (isIdle) target.steady else maxOf(target.steady, here.steady))
-            val room = minOf(target.interruptible, maxOf(free, here.interruptible))
-            val isReplaced = room > 0 && here.interruptible >= room && isLastingExcess(place, now)
-            val mayGiveBack = isIdle || isReplaced
-            // What is given back first makes room at once.
-            listOfNotNull(
-                CountOrder(place, false, target.steady)
-                    .takeIf { isFirst(it, isIdle) || isDue(it, here.steady, mayGiveBack, now) },
-                CountOrder(place, true, room).takeIf { isDue(it, here.interruptible, mayGiveBack = true, now) },
-            )
+            ordersFor(place, target, standing[place] ?: EndpointCounts(0, 0), isIdle, now)
         }
     }
 
+    private fun ordersFor(
+        place: DataCentreId,
+        target: EndpointCounts,
+        here: EndpointCounts,
+        isIdle: Boolean,
+        now: MonotonicTime,
+    ): List<CountOrder> {
+        val steady = target.steady + standIns(place, target, here)
+        if (here.steady > steady) excessSince.getOrPut(place) { now } else excessSince.remove(place)
+        val free = most - (if (isIdle) target.steady else maxOf(target.steady, here.steady))
+        val room = minOf(target.interruptible, maxOf(free, here.interruptible))
+        val isReplaced = room > 0 && here.interruptible >= room && isLastingExcess(place, now)
+        val steadyOrder = CountOrder(place, false, steady)
+        val interruptibleOrder = CountOrder(place, true, room)
+        // What is given back first makes room at once.
+        return listOfNotNull(
+            steadyOrder.takeIf { isFirst(it, isIdle) || isDue(it, here.steady, isIdle || isReplaced, now) },
+            interruptibleOrder.takeIf { isDue(it, here.interruptible, mayGiveBack = true, now) },
+        )
+    }
+
+    /** Steady endpoints in place of interruptible ones that the platform refused. */
+    private fun standIns(place: DataCentreId, target: EndpointCounts, here: EndpointCounts): Int {
+        val isRefused = sent[place to true]?.let { !it.isTaken } ?: false
+        val missing = (target.interruptible - here.interruptible).coerceAtLeast(0)
+        return if (isRefused) (missing * STAND_IN_SHARE).toInt() else 0
+    }
+
     /** Whether the first orders are still being carried out: they were sent, and [standing] differs from [targets]. */
     fun isGrowing(
         targets: Map<DataCentreId, EndpointCounts>,
@@ -89,6 +107,9 @@
         excessSince[place]?.let { now - it >= REPLACEMENT_TIME } ?: false
 
     private companion object {
+        /** The part of the missing endpoints for which steady ones are ordered; each costs several times as much. */
+        const val STAND_IN_SHARE = 0.5
+
         /** When an endpoint is replaced, the old one leaves about a second after the new one has come. */
         val REPLACEMENT_TIME = 1500.milliseconds
 
--- a/decisions/src/test/kotlin/org/nutmegspring/placement/EnginePlacementSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/placement/EnginePlacementSpec.kt
@@ -83,6 +83,17 @@
             assertNotEquals("h", reader(List(9) { engine("p$it", EngineRole.PREFILL) }))
         }
 
+        @Test
+        fun `an engine with room reads it again when the wait at the holder would have it refused`() {
+            val full = holder.copy(tokensAhead = 22_000)
+            val others = List(9) { engine("p$it", EngineRole.PREFILL, tokensAhead = 9_000) }
+            val bounded = work.copy(longestWaitMilliseconds = 350.0)
+            val plan = assertIs<EnginePlan.Handover>(placement.plan(bounded, others + full + generator, here))
+            assertTrue(plan.waitMilliseconds <= 350, "waits for ${plan.waitMilliseconds} ms")
+            val unbounded = assertIs<EnginePlan.Handover>(placement.plan(work, others + full + generator, here))
+            assertEquals("h", unbounded.reader.id.value)
+        }
+
         @Test
         fun `it stays while all engines have queues, since reading again would lengthen them`() {
             assertEquals("h", reader(List(9) { engine("p$it", EngineRole.PREFILL, tokensAhead = 3_000) }))
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
@@ -41,8 +41,8 @@
 
     private var isSilent = false
 
-    /** Whether the endpoint is left out since it does not answer this instance at all. */
-    val isUnreachable: Boolean get() = isSilent && health.isOut
+    /** Whether the endpoint is left out at [now] since it does not answer this instance at all. */
+    fun isUnreachable(now: MonotonicTime): Boolean = isSilent && !health.permits(now)
 
     /** Until when the endpoint is used although its entry has lapsed, or null while the entry stands. */
     var lapsesAt: MonotonicTime? = null
@@ -77,10 +77,13 @@
         health.succeeded()
     }
 
-    /** Records that it does not answer another instance. It is left out [until] then unless it answers this one. */
+    /**
+     * Records that it does not answer another instance. It is left out [until] then, unless it answers this one or this
+     * one found the same itself: instances that left it out for each other would never try it again.
+     */
     fun unreachableElsewhere(now: MonotonicTime, until: MonotonicTime) {
         val hasJustAnswered = lastAnswerAt?.let { now - it < RECENT_ANSWER } ?: false
-        if (!hasJustAnswered) avoid(until)
+        if (!hasJustAnswered && !health.isOut) avoid(until)
     }
 
     /** Leaves the endpoint out until [until], unless it changes before. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
@@ -18,7 +18,9 @@
 import org.nutmegspring.placement.EngineSpeeds
 import org.nutmegspring.placement.PlacedWork
 import org.nutmegspring.time.MonotonicClock
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
 
 /** Where a request is sent after its prompt was prepared. */
 sealed interface Preparation {
@@ -43,8 +45,11 @@
 ) {
     private val promptsRead = ArrayDeque<PromptReadReport>()
 
-    /** Returns the plan for [run], or null when no engine can take it. */
-    fun choose(run: RequestRun): EnginePlan? = placement(run).plan(work(run), candidates(run), dataCentre)
+    /** Returns the plan for [run], which may wait for [longestWait], or null when no engine can take it. */
+    fun choose(run: RequestRun, longestWait: Duration): EnginePlan? {
+        val work = work(run).copy(longestWaitMilliseconds = longestWait.toDouble(DurationUnit.MILLISECONDS))
+        return placement(run).plan(work, candidates(run), dataCentre)
+    }
 
     /** Has the prompt read where [plan] says so, and returns where the request is sent next. */
     suspend fun prepare(run: RequestRun, plan: EnginePlan): Preparation {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
@@ -14,6 +14,7 @@
 import org.nutmegspring.quota.SharedQuota
 import org.nutmegspring.time.MonotonicClock
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** The configuration in force at this instance. It never goes back to an older version. */
 class CurrentConfiguration(private val log: DecisionLog) {
@@ -65,7 +66,14 @@
         val now = clock.now()
         for ((organisation, quota) in quotas) {
             val units = report.charges[organisation] ?: 0
-            quota.heard(PeerCharges(report.instance, report.incarnation, units, now), now)
+            val charges = PeerCharges(
+                instance = report.instance,
+                incarnation = report.incarnation,
+                chargedUnits = units,
+                interval = report.intervalMilliseconds.milliseconds,
+                believedUntil = now + report.lifetime(HEARD_WITHIN),
+            )
+            quota.heard(charges, now)
         }
     }
 
@@ -94,4 +102,9 @@
         QuotaUnit.Requests -> 1
         is QuotaUnit.Tokens -> tokens ?: unit.withoutFigures
     }
+
+    private companion object {
+        /** Several exchanges in a small fleet; a shorter silence is usual when messages are lost. */
+        val HEARD_WITHIN = 1500.milliseconds
+    }
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -64,7 +64,7 @@
     }
 
     private suspend fun nextAttempt(run: RequestRun, progress: Progress, last: RunEnd): Next {
-        val plan = choice.choose(run) ?: return Next.Ended(last)
+        val plan = choice.choose(run, limit.longestWait(shortestObjective(run))) ?: return Next.Ended(last)
         if (run.trace.plan == null) run.trace.plan = plan
         val refusal = refusal(run, progress, plan)
         val isFurther = run.trace.endpoints.isNotEmpty()
@@ -93,7 +93,7 @@
         val verdict = limit.decide(
             wait = plan.waitMilliseconds.milliseconds,
             expected = plan.expectedMilliseconds.milliseconds,
-            shortestObjective = run.admitted.configuration.shortestStreamObjective(run.admitted.service),
+            shortestObjective = shortestObjective(run),
             patience = run.firstOutputTimeLeft(),
         )
         return when (verdict) {
@@ -102,6 +102,9 @@
         }
     }
 
+    private fun shortestObjective(run: RequestRun): Duration =
+        run.admitted.configuration.shortestStreamObjective(run.admitted.service)
+
     private fun impossible(run: RequestRun, reason: String, last: RunEnd): RunEnd =
         if (run.mayHaveRun) last else RunEnd.NotRun(reason, RETRY_PAUSE)
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
@@ -44,9 +44,13 @@
      * Returns the endpoints that do not answer this instance. Where most of a service don't, the fault is more likely
      * on this side, and nothing is told.
      */
-    fun unreachable(): List<EndpointId> = endpoints.all().groupBy { it.endpoint.service }.values.flatMap { ofService ->
-        ofService.filter { it.isUnreachable }.takeIf { it.size <= ofService.size * GREATEST_TOLD_SHARE }.orEmpty()
-    }.map { it.endpoint.id }
+    fun unreachable(): List<EndpointId> {
+        val now = clock.now()
+        return endpoints.all().groupBy { it.endpoint.service }.values.flatMap { ofService ->
+            val silent = ofService.filter { it.isUnreachable(now) }
+            silent.takeIf { it.size <= ofService.size * GREATEST_TOLD_SHARE }.orEmpty()
+        }.map { it.endpoint.id }
+    }
 
     /** Returns the own work at endpoints, and once more those where it has just ended. */
     fun ownLoads(): List<EndpointLoadReport> {
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/instance/PeerReportsSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/instance/PeerReportsSpec.kt
@@ -17,6 +17,7 @@
 import org.nutmegspring.membership.InstancePhase
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -105,6 +106,15 @@
             assertEquals(emptyList(), reports.unreachable())
         }
 
+        @Test
+        fun `it is tried again after a pause, although others that it does not answer either tell the same`() {
+            silence("e3")
+            clock.pass(600.milliseconds)
+            reports.hear(report(unreachable = listOf("e3")))
+            assertTrue("e3" in usable(), "${usable()}")
+            assertEquals(emptyList(), reports.unreachable())
+        }
+
         @Test
         fun `nothing is told when most of a service are silent`() {
             silence("e0", "e1", "e2")
