--- a/decisions/src/main/kotlin/org/nutmegspring/placement/EnginePlacement.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/placement/EnginePlacement.kt
@@ -85,9 +85,9 @@
  *
  * Load pattern: the mix swings between long prompts with much in common and short ones, faster than engines can change
  * roles, and reading is what binds. A request goes where its first output is expected soonest, counting the tokens
- * ahead of it and those of its prompt that the engine does not hold. Reading shared tokens again costs extra by the part
- * of the readers that are busy: it takes time from others only when they would use it. An engine with too long a queue
- * is passed over while others have room, whatever it holds.
+ * ahead of it and those of its prompt that the engine does not hold. Reading shared tokens again costs extra by the
+ * part of the readers that are busy: it takes time from others only when they would use it. An engine with too long a
+ * queue is passed over while others have room, whatever it holds.
  */
 class EnginePlacement(private val speeds: EngineSpeeds = EngineSpeeds()) {
     /** Returns the plan with the least cost for [work] from [from], or null when no engine can take it. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerExchange.kt
@@ -75,6 +75,7 @@
         }
     }
 
+    /** How often instances tell each other. */
     companion object {
         /** The more peers there are, the less often each is told, so that the messages of one instance stay bounded. */
         fun interval(peers: Int): Duration = maxOf(SHORTEST_INTERVAL, INTERVAL_PER_PEER * peers)
