--- a/command-line/src/main/kotlin/org/nutmegspring/commandline/explain/DecisionLine.kt
+++ b/command-line/src/main/kotlin/org/nutmegspring/commandline/explain/DecisionLine.kt
@@ -29,18 +29,20 @@
  */
 internal fun readDecisionLine(text: String, file: String): DecisionLine? {
     val start = text.indexOf('{')
-    if (start < 0) return null
-    val line = try {
-        Json.parseToJsonElement(text.substring(start)) as? JsonObject
-    } catch (_: SerializationException) {
-        null
-    } ?: return null
+    val line = (if (start < 0) null else readObject(text.substring(start))) ?: return null
     val at = (line["timestamp"] as? JsonPrimitive)?.longOrNull ?: return null
     val event = (line["formattedMessage"] as? JsonPrimitive)?.content ?: return null
     val instance = text.substring(0, start).trim().substringAfterLast(' ').ifEmpty { file }
     return DecisionLine(at, instance, event, readFields(line["kvpList"]))
 }
 
+/** Returns the object, or null when [text] is something else: files hold lines of other programs too. */
+private fun readObject(text: String): JsonObject? = try {
+    Json.parseToJsonElement(text) as? JsonObject
+} catch (_: SerializationException) {
+    null
+}
+
 private fun readFields(pairs: Any?): Map<String, String> = (pairs as? JsonArray).orEmpty()
     .filterIsInstance<JsonObject>()
     .flatMap { it.entries }
