--- a/decisions/src/main/kotlin/org/nutmegspring/quota/SharedQuota.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/quota/SharedQuota.kt
@@ -56,7 +56,7 @@
     private val lately = SlidingSum(LATELY, now)
     private var interval = Duration.ZERO
 
-    /** Units that this process charged since its start, without those it gave back. */
+    /** Units that this process charged since its start. */
     var chargedUnits: Long = 0
         private set
 
@@ -67,12 +67,13 @@
         rate = changed
     }
 
-    /** Takes what another instance charged, or gave back, since it was last heard. */
+    /** Takes what another instance charged since it was last heard. */
     fun heard(charges: PeerCharges, now: MonotonicTime) {
         val last = seen.put(charges.instance, charges)
         val counted = if (last != null && last.incarnation == charges.incarnation) last.chargedUnits else 0
-        charged.add(charges.chargedUnits - counted, now)
-        lately.add(charges.chargedUnits - counted, now)
+        val units = maxOf(0, charges.chargedUnits - counted)
+        charged.add(units, now)
+        lately.add(units, now)
         interval = charges.interval
     }
 
@@ -95,10 +96,9 @@
         return QuotaVerdict.Exceeded(charged.timeUntilFreed(units - free, now) ?: window)
     }
 
-    /** Returns [units] of a charge whose request did not run. */
+    /** Returns [units] of a charge whose request did not run. The other instances go on counting them. */
     fun refund(units: Long, now: MonotonicTime) {
         charged.add(-units, now)
-        chargedUnits -= units
     }
 
     /** What the others may have charged since they told last, at most an interval ago. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
@@ -96,7 +96,7 @@
 
     /** Returns the units charged so far, by organisation. */
     fun charges(): Map<OrganisationId, Long> =
-        quotas.filterValues { it.chargedUnits != 0L }.mapValues { it.value.chargedUnits }
+        quotas.filterValues { it.chargedUnits > 0 }.mapValues { it.value.chargedUnits }
 
     private fun units(organisation: OrganisationDefinition, tokens: Long?): Long = when (val unit = organisation.unit) {
         QuotaUnit.Requests -> 1
