Record the end of a request in one place, and drop what nobody reads

Cause: the read of the whole change found the same event built twice in GatewayHandler, what stands and what is wanted of a service worked out twice in EndpointOrderer, and members without a reader: the prices of data centres, the silence of a peer, the time that the steady clock missed. Ruled out: one RetryBudget for serve and the gateway (other bounds, other behaviour) and shared status constants (like in shape only).

--- a/decisions/src/main/kotlin/org/nutmegspring/spending/FleetOrders.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/spending/FleetOrders.kt
@@ -38,10 +38,8 @@
         standing: Map<DataCentreId, EndpointCounts>,
         isIdle: Boolean,
         now: MonotonicTime,
-    ): List<CountOrder> {
-        return targets.flatMap { (place, target) ->
-            ordersFor(place, target, standing[place] ?: EndpointCounts(0, 0), isIdle, now)
-        }
+    ): List<CountOrder> = targets.flatMap { (place, target) ->
+        ordersFor(place, target, standing[place] ?: EndpointCounts(0, 0), isIdle, now)
     }
 
     private fun ordersFor(
--- a/decisions/src/main/kotlin/org/nutmegspring/spending/ScalingTerms.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/spending/ScalingTerms.kt
@@ -1,6 +1,5 @@
 package org.nutmegspring.spending
 
-import org.nutmegspring.identity.DataCentreId
 import kotlin.time.Duration
 
 /**
@@ -11,14 +10,12 @@
  * @property startUp the time from an order until the endpoint serves
  * @property interruptiblePrice the price of an endpoint that may be taken away at short notice, as a part of the price
  * of another; null when there are none
- * @property prices the price of a second of an endpoint by data centre
  */
 data class ScalingTerms(
     val least: Int,
     val most: Int,
     val startUp: Duration,
     val interruptiblePrice: Double?,
-    val prices: Map<DataCentreId, Double>,
 )
 
 /** Endpoints of one service in one data centre, by kind. */
--- a/decisions/src/main/kotlin/org/nutmegspring/time/SuspensionAwareClock.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/time/SuspensionAwareClock.kt
@@ -22,9 +22,6 @@
     private var dayAnchor = timeOfDayMilliseconds()
     private var suspended = Duration.ZERO
 
-    /** How much time the steady clock missed so far. */
-    val missed: Duration get() = suspended
-
     @Synchronized
     override fun now(): MonotonicTime {
         val current = steady.now()
--- a/decisions/src/test/kotlin/org/nutmegspring/spending/FleetSizingSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/spending/FleetSizingSpec.kt
@@ -17,7 +17,6 @@
         most = 7,
         startUp = 4.seconds,
         interruptiblePrice = interruptiblePrice,
-        prices = dataCentres.associateWith { 1.0 },
     )
 
     @Nested
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/EndpointOrderer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/EndpointOrderer.kt
@@ -12,6 +12,7 @@
 import org.nutmegspring.spending.EndpointCounts
 import org.nutmegspring.spending.FleetOrders
 import org.nutmegspring.spending.FleetSizing
+import org.nutmegspring.spending.ScalingTerms
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -41,19 +42,28 @@
 
     /** Whether endpoints of [service] are about to be ordered, or were just ordered and most are to come or to go. */
     fun isGrowing(service: ServiceId): Boolean {
-        val terms = services().find { it.id == service }?.scaling ?: return false
-        val standing = standing(service)
-        val targets = sizing.targets(terms, standing.keys) ?: return false
-        return orders[service]?.isGrowing(targets, standing, caller.clock.now()) ?: true
+        val fleet = services().find { it.id == service }?.let(::fleetOf) ?: return false
+        return orders[service]?.isGrowing(fleet.targets, fleet.standing, caller.clock.now()) ?: true
     }
 
-    private suspend fun order(service: ServiceDefinition) {
-        val terms = service.scaling ?: return
+    private class Fleet(
+        val terms: ScalingTerms,
+        val standing: Map<DataCentreId, EndpointCounts>,
+        val targets: Map<DataCentreId, EndpointCounts>,
+    )
+
+    /** Returns what stands of [service] and what is wanted, or null when nothing is ordered for it. */
+    private fun fleetOf(service: ServiceDefinition): Fleet? {
+        val terms = service.scaling ?: return null
         val standing = standing(service.id)
-        val targets = sizing.targets(terms, standing.keys) ?: return
+        return sizing.targets(terms, standing.keys)?.let { Fleet(terms, standing, it) }
+    }
+
+    private suspend fun order(service: ServiceDefinition) {
+        val fleet = fleetOf(service) ?: return
         val isIdle = isIdle(service.id) ?: return
-        val ofService = orders.getOrPut(service.id) { FleetOrders(terms.most, terms.startUp) }
-        ofService.due(targets, standing, isIdle, caller.clock.now()).forEach { order ->
+        val ofService = orders.getOrPut(service.id) { FleetOrders(fleet.terms.most, fleet.terms.startUp) }
+        ofService.due(fleet.targets, fleet.standing, isIdle, caller.clock.now()).forEach { order ->
             ofService.sent(order, send(service.id, order), caller.clock.now())
         }
     }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
@@ -13,6 +13,7 @@
 import org.nutmegspring.gateway.wire.AnswerFacts
 import org.nutmegspring.gateway.wire.Dispatch
 import org.nutmegspring.gateway.wire.ServingDialect
+import kotlin.time.Duration.Companion.milliseconds
 
 /** The head of an endpoint's answer to a request. */
 class AnswerHead(val status: Int, val headers: HttpHeaders, val facts: AnswerFacts) {
@@ -124,6 +125,6 @@
         const val MAXIMUM_DRAINED_PARTS = 4
 
         /** Freeing spares memory of the engine, which gives it up by itself some seconds later. */
-        val FREE_TIMEOUT = kotlin.time.Duration.parse("500ms")
+        val FREE_TIMEOUT = 500.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/GatewayHandler.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/GatewayHandler.kt
@@ -16,6 +16,7 @@
 import org.nutmegspring.gateway.observe.RequestTrace
 import org.nutmegspring.gateway.wire.RequestFacts
 import org.nutmegspring.gateway.wire.ServingDialect
+import org.nutmegspring.identity.RequestId
 import org.nutmegspring.quota.QuotaVerdict
 import org.nutmegspring.time.MonotonicClock
 import kotlin.random.Random
@@ -123,33 +124,28 @@
             is Refusal.Malformed, is Refusal.Unauthenticated, is Refusal.NoRoute -> null
         }
         answer(exchange, status, refusal.reason, comeBackAfter)
-        metrics.ended(admitted?.route, RequestOutcome.REFUSED, status, RequestTrace())
-        log.record(
-            DecisionEvent.RequestEnded(
-                facts.id,
-                admitted?.route?.name,
-                admitted?.organisation?.id,
-                RequestOutcome.REFUSED,
-                status,
-                refusal.reason,
-                RequestTrace(),
-                beliefs(),
-            ),
-        )
+        val end = RequestEnd(RequestOutcome.REFUSED, status, refusal.reason)
+        record(facts.id, admitted, end, RequestTrace())
     }
 
     private fun ended(run: RequestRun, outcome: RequestOutcome, status: Int, reason: String?) {
         run.trace.elapsedMilliseconds = run.elapsedMilliseconds()
-        metrics.ended(run.admitted.route, outcome, status, run.trace)
+        record(run.id, run.admitted, RequestEnd(outcome, status, reason), run.trace)
+    }
+
+    private class RequestEnd(val outcome: RequestOutcome, val status: Int, val reason: String?)
+
+    private fun record(id: RequestId?, admitted: AdmittedRequest?, end: RequestEnd, trace: RequestTrace) {
+        metrics.ended(admitted?.route, end.outcome, end.status, trace)
         log.record(
             DecisionEvent.RequestEnded(
-                run.id,
-                run.admitted.route.name,
-                run.admitted.organisation?.id,
-                outcome,
-                status,
-                reason,
-                run.trace,
+                id,
+                admitted?.route?.name,
+                admitted?.organisation?.id,
+                end.outcome,
+                end.status,
+                end.reason,
+                trace,
                 beliefs(),
             ),
         )
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/RequestRun.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/RequestRun.kt
@@ -19,6 +19,7 @@
 import org.nutmegspring.time.MonotonicClock
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** How serving a request ended, as far as the caller was not answered yet. */
 sealed interface RunEnd {
@@ -107,7 +108,7 @@
 
     private companion object {
         /** With less time left an endpoint can't complete anything. */
-        val LEAST_TIME = Duration.parse("20ms")
+        val LEAST_TIME = 20.milliseconds
     }
 }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -52,6 +52,7 @@
 import org.nutmegspring.identity.Incarnation
 import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.identity.OrganisationId
+import org.nutmegspring.identity.ServiceId
 import org.nutmegspring.lease.Duty
 import org.nutmegspring.lease.DutyPlacement
 import org.nutmegspring.lease.HeldLease
@@ -133,12 +134,12 @@
     )
     private val reports = PeerReports(self, peers, quotas, endpoints, clock)
 
-    private fun cacheCapacity(service: org.nutmegspring.identity.ServiceId): Long =
+    private fun cacheCapacity(service: ServiceId): Long =
         current.configuration?.services?.get(service)?.engines?.cacheCapacityTokens ?: DEFAULT_CACHE_TOKENS
 
     internal fun start() {
         log.record(DecisionEvent.PhaseChanged("starting", "instance $self, incarnation $incarnation"))
-        val limits = CallerServerLimits()
+        val limits = CallerServerLimits({ current.configuration?.limits }, { phase == InstancePhase.DRAINING })
         listen(settings.addresses.callers, limits, gatewayHandler())
         listen(settings.addresses.readiness, PlainServerLimits, readinessHandler(platform.dialect, ::isReady))
         val keepSeconds = { minOf(ADDRESS_KEEP_SECONDS, settings.bounds.addressKeepSeconds) }
@@ -315,21 +316,6 @@
         metrics.gauge("gateway_duty_held") { if (duties.isHolding) 1.0 else 0.0 }
     }
 
-    private inner class CallerServerLimits : ServerLimits {
-        private val configured get() = current.configuration?.limits
-        override val bodyBytes: Int get() = configured?.bodyBytes ?: PlainServerLimits.bodyBytes
-        override val requestTimeout: Duration get() = configured?.headerTimeout ?: PlainServerLimits.requestTimeout
-        override val idleTimeout: Duration get() = configured?.idleTimeout ?: PlainServerLimits.idleTimeout
-        override val isStopping: Boolean get() = phase == InstancePhase.DRAINING
-    }
-
-    private object PlainServerLimits : ServerLimits {
-        override val bodyBytes: Int = 4 * 1024 * 1024
-        override val requestTimeout: Duration = 3.seconds
-        override val idleTimeout: Duration = 15.seconds
-        override val isStopping: Boolean = false
-    }
-
     private companion object {
         val json = Json { ignoreUnknownKeys = true }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerTable.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerTable.kt
@@ -89,9 +89,6 @@
     fun ready(now: MonotonicTime): Set<InstanceId> =
         live(now).filter { it.phase == InstancePhase.READY }.map { it.instance }.toSet()
 
-    /** Returns how long an instance has been silent, or null when it was never heard. */
-    fun silence(instance: InstanceId, now: MonotonicTime): Duration? = heard[instance]?.let { now - it.at }
-
     /** Returns what the other instances counted in [window]. */
     fun usage(window: Long): List<Map<OrganisationId, Long>> = usage[window]?.values?.toList().orEmpty()
 
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/EndpointOrdererSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/EndpointOrdererSpec.kt
@@ -10,7 +10,6 @@
 import org.nutmegspring.gateway.endpoints.EndpointTable
 import org.nutmegspring.gateway.store.FeedEntry
 import org.nutmegspring.gateway.store.Listing
-import org.nutmegspring.identity.DataCentreId
 import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.platform.ListedState
 import org.nutmegspring.spending.FleetSizing
@@ -27,8 +26,7 @@
     private val calls = RecordedDutyCalls()
     private val table = EndpointTable({ 1_000 }) { _, _ -> }
     private val service = endpointOf("any").service
-    private val prices = mapOf(DataCentreId("rennes") to 1.0)
-    private val terms = ScalingTerms(least = 1, most = 5, 4.seconds, interruptiblePrice = 0.2, prices)
+    private val terms = ScalingTerms(least = 1, most = 5, 4.seconds, interruptiblePrice = 0.2)
     private var isHeld = true
 
     private fun TestScope.start(scaling: ScalingTerms? = terms): EndpointOrderer {
