Log and measure report traffic, event loop delay and age of the endpoint list

The logs and metrics of an instance could not tell the hypotheses of the incident apart: no size of a report, no bytes of the exchange, no delay of the event loop, and no age of the answer that the endpoint table rests on. The evidence class of the configuration serves the endpoint table too and has a general name now. No decision depends on the new figures.

--- a/decisions/src/main/kotlin/org/nutmegspring/currency/ConfigurationEvidence.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/currency/FreshnessEvidence.kt
@@ -4,15 +4,15 @@
 import kotlin.time.Duration
 
 /**
- * Tracks when the configuration of this process was last confirmed to be the newest.
+ * Tracks when this process last had proof that what it knows from the store is the newest.
  *
  * An answered call to the store proves that nothing newer had been accepted when the call started. An unanswered call
  * proves nothing.
  */
-class ConfigurationEvidence {
+class FreshnessEvidence {
     private var confirmedAt: MonotonicTime? = null
 
-    /** Records that a call started at [callStartedAt] returned the newest configuration. */
+    /** Records that a call started at [callStartedAt] returned the newest state. */
     fun recordConfirmation(callStartedAt: MonotonicTime) {
         val last = confirmedAt
         if (last == null || callStartedAt > last) confirmedAt = callStartedAt
--- a/decisions/src/test/kotlin/org/nutmegspring/currency/ConfigurationEvidenceSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/currency/FreshnessEvidenceSpec.kt
@@ -9,8 +9,8 @@
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.seconds
 
-class ConfigurationEvidenceSpec {
-    private val evidence = ConfigurationEvidence()
+class FreshnessEvidenceSpec {
+    private val evidence = FreshnessEvidence()
 
     private fun at(seconds: Int) = MonotonicTime.ZERO + seconds.seconds
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointTable.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointTable.kt
@@ -1,5 +1,6 @@
 package org.nutmegspring.gateway.endpoints
 
+import org.nutmegspring.currency.FreshnessEvidence
 import org.nutmegspring.gateway.store.FeedEvent
 import org.nutmegspring.gateway.store.Listing
 import org.nutmegspring.identity.EndpointId
@@ -34,6 +35,9 @@
 ) {
     private val states = LinkedHashMap<EndpointId, EndpointState>()
 
+    /** The evidence that the table is what the store holds. */
+    val evidence = FreshnessEvidence()
+
     /** Whether a listing has been received. */
     var isListed: Boolean = false
         private set
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
@@ -1,6 +1,6 @@
 package org.nutmegspring.gateway.forwarding
 
-import org.nutmegspring.currency.ConfigurationEvidence
+import org.nutmegspring.currency.FreshnessEvidence
 import org.nutmegspring.gateway.configuration.OrganisationDefinition
 import org.nutmegspring.gateway.configuration.QuotaUnit
 import org.nutmegspring.gateway.configuration.ServingConfiguration
@@ -23,7 +23,7 @@
         private set
 
     /** The evidence that it is the newest. */
-    val evidence = ConfigurationEvidence()
+    val evidence = FreshnessEvidence()
 
     /** Applies [offered] if it is newer than the current configuration. Returns whether it was applied. */
     fun offer(offered: ServingConfiguration): Boolean {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/FeedListeners.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/FeedListeners.kt
@@ -64,14 +64,19 @@
     private val clock: MonotonicClock,
     log: DecisionLog,
 ) : LoggedFeedListener<ServingEndpoint>("endpoints", log) {
-    override fun onListed(listing: Listing<ServingEndpoint>, callStartedAt: MonotonicTime, regainedAt: MonotonicTime?) =
+    override fun onListed(listing: Listing<ServingEndpoint>, callStartedAt: MonotonicTime, regainedAt: MonotonicTime?) {
         endpoints.replace(listing, regainedAt, clock.now())
+        endpoints.evidence.recordConfirmation(callStartedAt)
+    }
 
     override fun onChanged(
         events: List<FeedEvent<ServingEndpoint>>,
         callStartedAt: MonotonicTime,
         regainedAt: MonotonicTime?,
-    ) = events.forEach { endpoints.applyChange(it, regainedAt, clock.now()) }
+    ) {
+        events.forEach { endpoints.applyChange(it, regainedAt, clock.now()) }
+        endpoints.evidence.recordConfirmation(callStartedAt)
+    }
 }
 
 /** Applies changes of the listed instances. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -34,8 +34,11 @@
 import org.nutmegspring.gateway.http.startHttpServer
 import org.nutmegspring.gateway.observe.DecisionEvent
 import org.nutmegspring.gateway.observe.DecisionLog
+import org.nutmegspring.gateway.observe.EventLoopDelay
 import org.nutmegspring.gateway.observe.GatewayMetrics
+import org.nutmegspring.gateway.observe.StatusSnapshot
 import org.nutmegspring.gateway.peers.EndpointLoadReport
+import org.nutmegspring.gateway.peers.ExchangeTraffic
 import org.nutmegspring.gateway.peers.InstanceRecord
 import org.nutmegspring.gateway.peers.OwnAddress
 import org.nutmegspring.gateway.peers.PeerExchange
@@ -75,6 +78,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 
 /** Creates the platform's ports from connections, settings and a callback for unreadable objects. */
 typealias PlatformFactory = (EndpointConnections, PlatformSettings, (String) -> Unit) -> PlatformPorts
@@ -101,6 +105,7 @@
         log.record(DecisionEvent.Skipped("an object of the store", it))
     }
     private val metrics = GatewayMetrics()
+    private val loopDelay = EventLoopDelay()
     private val currentConfiguration = CurrentConfiguration(log)
     private val quotas = QuotaTable(clock) { settings.bounds.quotaWindowSeconds.seconds }
     private val peers = PeerTable(self, incarnation)
@@ -154,10 +159,10 @@
             createDirectoryHandler(platform.dialect, keepSeconds, ::listCallerAddresses),
         )
         startServer(settings.addresses.metrics, DefaultServerLimits, createMetricsHandler(metrics::scrape))
-        registerGauges()
         val exchange = PeerExchange(loop, settings.addresses.exchange, reports::applyReport) {
             log.record(DecisionEvent.Skipped("a report of an instance", it))
         }
+        registerGauges(exchange.traffic)
         followFeed(
             platform.configurations,
             ConfigurationListener(currentConfiguration, quotas, log),
@@ -168,6 +173,7 @@
         scope.launch { register() }
         scope.launch { exchange.run({ peers.registered.values.map { it.exchangeAddress } }, ::createReport) }
         scope.launch { runPeriodicTasks() }
+        scope.launch { logStatus(exchange.traffic) }
         duties.start(scope)
     }
 
@@ -263,8 +269,10 @@
 
     private suspend fun runPeriodicTasks() {
         while (true) {
+            val sleepStartedAt = clock.now()
             delay(TASK_INTERVAL)
             val now = clock.now()
+            loopDelay.record(TASK_INTERVAL, now - sleepStartedAt)
             endpoints.removeLapsed(now)
             quotas.updateMembers(peers.registered.keys)
             val isServing = currentConfiguration.configuration != null && endpoints.isListed
@@ -275,6 +283,23 @@
         }
     }
 
+    private suspend fun logStatus(traffic: ExchangeTraffic) {
+        while (true) {
+            delay(STATUS_INTERVAL)
+            log.record(DecisionEvent.InstanceStatus(createStatus(traffic)))
+        }
+    }
+
+    private fun createStatus(traffic: ExchangeTraffic) = StatusSnapshot(
+        livePeers = peers.liveReports(clock.now()).size,
+        registeredPeers = peers.registered.size,
+        sentBytes = traffic.sentBytes,
+        receivedBytes = traffic.receivedBytes,
+        reportBytes = traffic.reportBytes,
+        endpointEvidenceAge = endpoints.evidence.age(clock.now()),
+        longestLoopDelay = loopDelay.takeLongest(),
+    )
+
     private fun createReport(): PeerReport = PeerReport(
         instance = self,
         incarnation = incarnation,
@@ -314,7 +339,7 @@
         RetryBounds(retryRatio, retryExtra, retryWindowSeconds.seconds)
     }
 
-    private fun registerGauges() {
+    private fun registerGauges(traffic: ExchangeTraffic) {
         metrics.registerGauge("gateway_configuration_version") {
             currentConfiguration.configuration?.version?.toDouble() ?: 0.0
         }
@@ -322,6 +347,14 @@
             currentConfiguration.evidence.age(clock.now())?.let { it.inWholeMilliseconds / MILLISECONDS_PER_SECOND }
                 ?: -1.0
         }
+        metrics.registerGauge("gateway_endpoint_evidence_age_seconds") {
+            endpoints.evidence.age(clock.now())?.toDouble(DurationUnit.SECONDS) ?: -1.0
+        }
+        metrics.registerGauge("gateway_event_loop_delay_seconds") { loopDelay.last.toDouble(DurationUnit.SECONDS) }
+        metrics.registerGauge("gateway_report_sent_bytes") { traffic.sentBytes.toDouble() }
+        metrics.registerGauge("gateway_report_received_bytes") { traffic.receivedBytes.toDouble() }
+        metrics.registerGauge("gateway_report_size_bytes") { traffic.reportBytes.toDouble() }
+        metrics.registerGauge("gateway_registered_peers") { peers.registered.size.toDouble() }
         metrics.registerGauge("gateway_endpoints") { endpoints.allStates().size.toDouble() }
         metrics.registerGauge("gateway_live_peers") { peers.liveReports(clock.now()).size.toDouble() }
         metrics.registerGauge("gateway_connections_opened") { connections.openedCount.toDouble() }
@@ -345,6 +378,7 @@
         val INSTANCE_WAIT = 10.seconds
         val REGISTER_PAUSE = 300.milliseconds
         val TASK_INTERVAL = 100.milliseconds
+        val STATUS_INTERVAL = 2.seconds
 
         /** Number of report intervals until the others have received a report, even if one is lost. */
         const val PROPAGATION_INTERVALS = 3
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
@@ -187,6 +187,21 @@
         override fun fields(): Map<String, Any?> = mapOf("phase" to phase, "reason" to reason)
     }
 
+    /** What this instance knows of the others, and how old what it knows from the store is. */
+    class InstanceStatus(private val status: StatusSnapshot) : DecisionEvent {
+        override val name: String get() = "instance status"
+
+        override fun fields(): Map<String, Any?> = mapOf(
+            "livePeers" to status.livePeers,
+            "registeredPeers" to status.registeredPeers,
+            "sentBytes" to status.sentBytes,
+            "receivedBytes" to status.receivedBytes,
+            "reportBytes" to status.reportBytes,
+            "endpointEvidenceAgeMilliseconds" to status.endpointEvidenceAge?.inWholeMilliseconds,
+            "longestLoopDelayMilliseconds" to status.longestLoopDelay.inWholeMilliseconds,
+        )
+    }
+
     /** Lines were dropped by the rate limit. */
     class LinesDropped(private val count: Long) : DecisionEvent {
         override val name: String get() = "lines dropped"
@@ -201,6 +216,27 @@
     val evidenceAge: Duration?,
 )
 
+/**
+ * The state of an instance at one time.
+ *
+ * @property livePeers the other instances whose last report is valid
+ * @property registeredPeers the other instances in the store
+ * @property sentBytes bytes of reports sent since the process started
+ * @property receivedBytes bytes of reports received since the process started
+ * @property reportBytes the size of the last report
+ * @property endpointEvidenceAge the age of the evidence that the endpoint table is current, null without evidence
+ * @property longestLoopDelay the longest delay of a task on the event loop since the previous snapshot
+ */
+data class StatusSnapshot(
+    val livePeers: Int,
+    val registeredPeers: Int,
+    val sentBytes: Long,
+    val receivedBytes: Long,
+    val reportBytes: Int,
+    val endpointEvidenceAge: Duration?,
+    val longestLoopDelay: Duration,
+)
+
 /** The course of a request: the endpoints tried, the plan and the times. */
 class RequestTrace {
     /** The endpoints to which the request was sent, in order. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerExchange.kt
@@ -32,6 +32,10 @@
     private val onUnreadable: (String) -> Unit,
 ) {
     private val cbor = Cbor { ignoreUnknownKeys = true }
+
+    /** The bytes sent and received. */
+    val traffic = ExchangeTraffic()
+
     private val channel: Channel = Bootstrap()
         .group(loop.group)
         .channel(NioDatagramChannel::class.java)
@@ -54,12 +58,14 @@
     fun send(addresses: List<String>, report: PeerReport) {
         if (addresses.isEmpty()) return
         val bytes = cbor.encodeToByteArray(PeerReport.serializer(), report)
+        traffic.recordSent(bytes.size, addresses.size)
         addresses.forEach { channel.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), socketAddress(it))) }
         channel.flush()
     }
 
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
         override fun channelRead0(context: ChannelHandlerContext, packet: DatagramPacket) {
+            traffic.recordReceived(packet.content().readableBytes())
             try {
                 onReport(cbor.decodeFromByteArray(PeerReport.serializer(), ByteBufUtil.getBytes(packet.content())))
             } catch (malformed: SerializationException) {
