Bound the reports between instances to 14 KB/s and stop relaying silent peers to all

What callers saw: on grown sites most requests got 429 or 503, and some reached endpoints that had left 3.5 s before.

Cause: each instance sent every report to every other one, and a report had no bound. After 1.5 s without a report (two lost ones, at 64 instances) a living instance counted as ended, and the usage counts of each such instance went into every report to all. So lost reports made reports larger, and larger reports filled the links, which lost more.

Why the fix works: the time between reports grows with their bytes, so that an instance never sends more than 14 KB/s, whatever a report holds, and receives as much. Reports hold less: usage counts go only to the instances that report usage or may do so next; at most two ended processes are relayed at a time, in turn; a process counts as ended only when its last report has expired; charges are told when they have changed; loads, prompts and names of fields are bounded or shorter. A stopping instance reports at once. Settling of usage counts and propagation of role changes follow the interval.

Instances with this format and instances before it do not understand each other's reports.

--- a/decisions/src/main/kotlin/org/nutmegspring/lease/DutyPlacement.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/lease/DutyPlacement.kt
@@ -21,6 +21,11 @@
         }
     }
 
+    /** Returns those of [candidates] that [desiredRole] lets hold [duty] or stand by for it. */
+    fun participants(duty: Duty, candidates: Set<InstanceId>): List<InstanceId> =
+        candidates.sortedWith(compareByDescending<InstanceId> { weight(duty, it) }.thenByDescending { it })
+            .take(1 + STANDBY_COUNT)
+
     private fun hasHigherRank(duty: Duty, other: InstanceId, self: InstanceId): Boolean {
         val comparison = weight(duty, other).compareTo(weight(duty, self))
         return comparison > 0 || (comparison == 0 && other > self)
--- a/decisions/src/main/kotlin/org/nutmegspring/quota/SharedQuota.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/quota/SharedQuota.kt
@@ -20,14 +20,14 @@
 /**
  * A report by another process of its charges to one organisation.
  *
- * @property chargedUnits the units charged since that process started
+ * @property chargedUnits the units charged since that process started, null if they are as reported before
  * @property reportInterval the time until its next report
  * @property expiresAt when the report expires unless a newer one arrives; the instance then counts as unreachable
  */
 data class PeerCharges(
     val instance: InstanceId,
     val incarnation: Incarnation,
-    val chargedUnits: Long,
+    val chargedUnits: Long?,
     val reportInterval: Duration,
     val expiresAt: MonotonicTime,
 )
@@ -79,9 +79,11 @@
 
     /** Records the units that another instance has charged since its previous report. */
     fun recordPeerCharges(charges: PeerCharges, now: MonotonicTime) {
-        val last = lastReports.put(charges.instance, charges)
-        val counted = if (last != null && last.incarnation == charges.incarnation) last.chargedUnits else 0
-        val units = maxOf(0, charges.chargedUnits - counted)
+        val last = lastReports[charges.instance]?.takeIf { it.incarnation == charges.incarnation }
+        val counted = last?.chargedUnits ?: 0
+        val chargedUnits = maxOf(counted, charges.chargedUnits ?: counted)
+        lastReports[charges.instance] = charges.copy(chargedUnits = chargedUnits)
+        val units = chargedUnits - counted
         charged.add(units, now)
         recentlyReported.add(units, now)
         reportInterval = charges.reportInterval
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/UsageReporter.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/UsageReporter.kt
@@ -23,12 +23,14 @@
  * window again sends the same counts.
  *
  * @param countRequests returns the requests of each organisation in a window, over all instances
+ * @param propagationTime returns the time within which the counts of the other instances reach this one
  * @param reportDeadline the time after the end of a window within which it has to be reported
  */
 class UsageReporter(
     private val caller: DutyCaller,
     store: ObjectStore,
     private val countRequests: (Long) -> Map<OrganisationId, Long>,
+    private val propagationTime: () -> Duration,
     private val windowLength: Duration,
     private val reportDeadline: Duration,
     private val wallClockMilliseconds: () -> Long,
@@ -47,7 +49,8 @@
     private suspend fun reportDueWindows() {
         val length = windowLength.inWholeMilliseconds
         val now = wallClockMilliseconds()
-        val lastClosed = Math.floorDiv(now - COUNT_SETTLING_TIME.inWholeMilliseconds, length) - 1
+        val settlingTime = maxOf(MINIMUM_SETTLING_TIME, propagationTime())
+        val lastClosed = Math.floorDiv(now - settlingTime.inWholeMilliseconds, length) - 1
         val oldestDue = Math.floorDiv(now - reportDeadline.inWholeMilliseconds, length)
         nextWindow = maxOf(nextWindow, oldestDue)
         while (nextWindow <= lastClosed) {
@@ -82,7 +85,7 @@
     private companion object {
         val CHECK_INTERVAL = 500.milliseconds
 
-        /** The counts of other instances arrive within one or two exchanges; clock offsets are smaller than this. */
-        val COUNT_SETTLING_TIME = 2500.milliseconds
+        /** Longer than the offsets between the clocks of instances. */
+        val MINIMUM_SETTLING_TIME = 2500.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
@@ -136,7 +136,7 @@
         }
     }
 
-    /** Returns and clears the reports of prompts sent to engines since the last call. */
+    /** Returns the newest reports of prompts sent to engines since the last call. */
     fun drainPrefillReports(): List<PrefillReport> {
         val taken = pendingReports.toList()
         pendingReports.clear()
@@ -228,10 +228,12 @@
         return (prompt.promptTokens - cachedTokens).coerceAtLeast(0).toLong()
     }
 
+    /** Records the prefill, and reports it to the other instances unless the shared part was cached before. */
     private fun recordPrefill(engine: EndpointState, prompt: PromptFacts) {
-        engine.recordPrefill(prompt.chain)
         val shared = prompt.chain.dropLast(1)
-        if (shared.isEmpty()) return
+        val isCached = engine.toEngineCandidate(shared, clock.now()).cachedTokens >= prompt.sharedTokens
+        engine.recordPrefill(prompt.chain)
+        if (isCached) return
         if (pendingReports.size >= MAXIMUM_PENDING_REPORTS) pendingReports.removeFirst()
         pendingReports += PrefillReport(engine.endpoint.id, shared.map { it.chainHash }, shared.map { it.tokens })
     }
@@ -257,7 +259,7 @@
 
     private companion object {
         /** Maximum number of prompts in one report; the oldest are dropped because they matter less. */
-        const val MAXIMUM_PENDING_REPORTS = 100
+        const val MAXIMUM_PENDING_REPORTS = 8
         const val BYTES_PER_MILLISECOND_IN_MEGABIT = 125.0
     }
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
@@ -45,6 +45,8 @@
 /** The quotas of all organisations at this instance. */
 class QuotaTable(private val clock: MonotonicClock, private val window: () -> Duration) {
     private val quotas = HashMap<OrganisationId, SharedQuota>()
+    private val reportedUnits = HashMap<OrganisationId, Long>()
+    private var nextRepeated = 0
 
     /** Updates the quota rates from [configuration]. */
     fun configure(configuration: ServingConfiguration) {
@@ -65,11 +67,10 @@
     fun recordPeerReport(report: PeerReport) {
         val now = clock.now()
         for ((organisation, quota) in quotas) {
-            val units = report.charges[organisation] ?: 0
             val charges = PeerCharges(
                 instance = report.instance,
                 incarnation = report.incarnation,
-                chargedUnits = units,
+                chargedUnits = report.charges[organisation],
                 reportInterval = report.intervalMilliseconds.milliseconds,
                 expiresAt = now + report.lifetime(MINIMUM_REPORT_LIFETIME),
             )
@@ -94,9 +95,24 @@
         quotas[organisation.id]?.refund(units(organisation, tokens), clock.now())
     }
 
-    /** Returns the units charged so far, by organisation. */
-    fun charges(): Map<OrganisationId, Long> =
-        quotas.filterValues { it.chargedUnits > 0 }.mapValues { it.value.chargedUnits }
+    /**
+     * Returns the units charged so far, by organisation, for the next report: of the organisations whose units have
+     * changed most since they were reported, and of [REPEATED_CHARGES] others in turn, in case a report was lost.
+     */
+    fun nextCharges(): Map<OrganisationId, Long> {
+        val units = quotas.mapValues { it.value.chargedUnits }.filterValues { it > 0 }
+        val changed = units.keys.filter { unreportedUnits(it, units) > 0 }
+            .sortedByDescending { unreportedUnits(it, units) }
+            .take(MAXIMUM_CHANGED_CHARGES)
+        val unchanged = (units.keys - changed.toSet()).sortedBy { it.value }
+        val repeated = List(minOf(REPEATED_CHARGES, unchanged.size)) { unchanged[(nextRepeated + it) % unchanged.size] }
+        nextRepeated += repeated.size
+        reportedUnits.keys.retainAll(units.keys)
+        return (changed + repeated).associateWith { units.getValue(it) }.also { reportedUnits += it }
+    }
+
+    private fun unreportedUnits(organisation: OrganisationId, units: Map<OrganisationId, Long>): Long =
+        units.getValue(organisation) - (reportedUnits[organisation] ?: 0)
 
     private fun units(organisation: OrganisationDefinition, tokens: Long?): Long = when (val unit = organisation.unit) {
         QuotaUnit.Requests -> 1
@@ -106,5 +122,7 @@
     private companion object {
         /** Covers several exchanges in a small fleet; shorter gaps are common when messages are lost. */
         val MINIMUM_REPORT_LIFETIME = 1500.milliseconds
+        const val MAXIMUM_CHANGED_CHARGES = 64
+        const val REPEATED_CHARGES = 2
     }
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -37,14 +37,12 @@
 import org.nutmegspring.gateway.observe.EventLoopDelay
 import org.nutmegspring.gateway.observe.GatewayMetrics
 import org.nutmegspring.gateway.observe.StatusSnapshot
-import org.nutmegspring.gateway.peers.EndpointLoadReport
+import org.nutmegspring.gateway.peers.AddressedReport
 import org.nutmegspring.gateway.peers.ExchangeTraffic
 import org.nutmegspring.gateway.peers.InstanceRecord
 import org.nutmegspring.gateway.peers.OwnAddress
 import org.nutmegspring.gateway.peers.PeerExchange
-import org.nutmegspring.gateway.peers.PeerReport
 import org.nutmegspring.gateway.peers.PeerTable
-import org.nutmegspring.gateway.peers.WindowReport
 import org.nutmegspring.gateway.settings.GatewaySettings
 import org.nutmegspring.gateway.settings.PlatformSettings
 import org.nutmegspring.gateway.store.FeedFollower
@@ -120,7 +118,6 @@
     private val engineChoice =
         EngineChoice(endpoints, sender, platform.dialect, retries, initial.instance.dataCentre, clock)
     private var phase = InstancePhase.JOINING
-    private var sequence = 0L
     private val servers = mutableListOf<HttpServer>()
     private val duties = InstanceDuties(
         initial,
@@ -130,7 +127,7 @@
             phase = { phase },
             readyPeers = { peers.readyInstances(clock.now()) },
             services = { currentConfiguration.configuration?.services?.values.orEmpty() },
-            propagationTime = { PeerExchange.reportInterval(peers.registered.size) * PROPAGATION_INTERVALS },
+            propagationTime = { exchange.interval * PROPAGATION_INTERVALS },
             countRequests = ::sumRequests,
             endpoints = endpoints,
         ),
@@ -139,6 +136,26 @@
     )
     private val reports = PeerReports(self, peers, quotas, endpoints, clock)
 
+    private val composer = ReportComposer(
+        LeaseHolder(self, incarnation),
+        startedAtMilliseconds,
+        peers,
+        currentConfiguration,
+        quotas,
+        reports,
+        engineChoice,
+        usage,
+        duties,
+        clock,
+    )
+    private val exchange: PeerExchange by lazy {
+        PeerExchange(loop, settings.addresses.exchange, reports::applyReport) {
+            log.record(DecisionEvent.Skipped("a report of an instance", it))
+        }
+    }
+
+    private fun composeReports(): List<AddressedReport> = composer.compose(phase, exchange.interval)
+
     private fun findCacheCapacity(service: ServiceId): Long =
         currentConfiguration.configuration?.services?.get(service)?.engines?.cacheCapacityTokens ?: DEFAULT_CACHE_TOKENS
 
@@ -159,9 +176,6 @@
             createDirectoryHandler(platform.dialect, keepSeconds, ::listCallerAddresses),
         )
         startServer(settings.addresses.metrics, DefaultServerLimits, createMetricsHandler(metrics::scrape))
-        val exchange = PeerExchange(loop, settings.addresses.exchange, reports::applyReport) {
-            log.record(DecisionEvent.Skipped("a report of an instance", it))
-        }
         registerGauges(exchange.traffic)
         followFeed(
             platform.configurations,
@@ -171,7 +185,7 @@
         followFeed(platform.endpoints, EndpointListener(endpoints, clock, log), ENDPOINT_WAIT)
         followFeed(platform.objectFeed(INSTANCES), InstanceListener(peers, quotas, ::decodeRecord, log), INSTANCE_WAIT)
         scope.launch { register() }
-        scope.launch { exchange.run({ peers.registered.values.map { it.exchangeAddress } }, ::createReport) }
+        scope.launch { exchange.run(::composeReports) }
         scope.launch { runPeriodicTasks() }
         scope.launch { logStatus(exchange.traffic) }
         duties.start(scope)
@@ -188,6 +202,7 @@
         val startedAt = clock.now()
         phase = InstancePhase.DRAINING
         log.record(DecisionEvent.PhaseChanged("draining", "the process was told to stop"))
+        exchange.send(composeReports())
         val maximumDrain = settings.bounds.stopSeconds.seconds * DRAIN_SHARE
         while (clock.now() - startedAt < maximumDrain) {
             val isDrained = clock.now() - startedAt > MINIMUM_DRAIN && servers.none { it.isBusy }
@@ -198,6 +213,7 @@
             it.stopListening()
             it.closeIdle()
         }
+        exchange.send(composeReports())
         log.record(DecisionEvent.PhaseChanged("stopped", "drained in ${clock.now() - startedAt}"))
     }
 
@@ -300,26 +316,6 @@
         longestLoopDelay = loopDelay.takeLongest(),
     )
 
-    private fun createReport(): PeerReport = PeerReport(
-        instance = self,
-        incarnation = incarnation,
-        startedAtMilliseconds = startedAtMilliseconds,
-        sequence = ++sequence,
-        intervalMilliseconds = PeerExchange.reportInterval(peers.registered.size).inWholeMilliseconds,
-        dataCentre = settings.instance.dataCentre,
-        callerAddress = settings.addresses.callers,
-        phase = phase,
-        configurationVersion = currentConfiguration.configuration?.version ?: 0,
-        evidenceAgeMilliseconds = currentConfiguration.evidence.age(clock.now())?.inWholeMilliseconds,
-        changingEngines = duties.changingEngines(),
-        unreachableEndpoints = reports.unreachableEndpoints(),
-        charges = quotas.charges(),
-        loads = reports.ownLoads(),
-        prefills = engineChoice.drainPrefillReports(),
-        windows = usage.snapshot().map { (window, requests) -> WindowReport(window, requests) },
-        endedProcesses = peers.endedProcesses(clock.now()),
-    )
-
     private fun isReady(): Boolean = phase == InstancePhase.READY &&
         currentConfiguration.evidence.isYoungerThan(settings.bounds.revocationMilliseconds.milliseconds, clock.now())
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceDuties.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceDuties.kt
@@ -79,6 +79,9 @@
     /** Whether this instance holds the duties. */
     val isHolding: Boolean get() = lease.heldLease() != null
 
+    /** Returns the instances that may hold the duties next, this one included. */
+    fun participants(): List<InstanceId> = DutyPlacement.participants(duty, candidates())
+
     /** Returns the engines whose role this instance is changing, if it holds the duties. */
     fun changingEngines(): List<EndpointId> = if (isHolding) roleOrderer.changingEngines() else emptyList()
 
@@ -96,6 +99,7 @@
         caller = caller,
         store = platform.store,
         countRequests = inputs.countRequests,
+        propagationTime = inputs.propagationTime,
         windowLength = settings.bounds.usageWindow,
         reportDeadline = settings.bounds.usageReportSeconds.seconds,
         wallClockMilliseconds = System::currentTimeMillis,
@@ -112,9 +116,12 @@
 
     private fun desiredRole(): LeaseRole {
         if (inputs.phase() != InstancePhase.READY) return LeaseRole.NONE
-        return DutyPlacement.desiredRole(duty, self.instance, inputs.readyPeers() + self.instance)
+        return DutyPlacement.desiredRole(duty, self.instance, candidates())
     }
 
+    private fun candidates(): Set<InstanceId> =
+        if (inputs.phase() == InstancePhase.READY) inputs.readyPeers() + self.instance else inputs.readyPeers()
+
     private companion object {
         val RENEW_INTERVAL = 1.seconds
     }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
@@ -27,7 +27,7 @@
         val now = clock.now()
         if (report.instance == self || !peers.recordReport(report, now)) return
         quotas.recordPeerReport(report)
-        val lifetime = report.lifetime(LOAD_LIFETIME)
+        val lifetime = report.lifetime(LOAD_LIFETIME, LOAD_LIFETIME_INTERVALS)
         val avoidanceEnd = now + report.lifetime(AVOIDANCE_LIFETIME)
         report.loads.forEach {
             endpoints.findState(it.endpoint)?.recordPeerLoad(
@@ -57,19 +57,29 @@
         }.map { it.endpoint.id }
     }
 
-    /** Returns the load of this instance at endpoints, and a load of zero once after it has ended. */
-    fun ownLoads(): List<EndpointLoadReport> {
-        val busy = endpoints.allStates().filter { it.ownLoad.requests > 0 }
-        val ended = reportedBusy - busy.map { it.endpoint.id }.toSet()
-        reportedBusy = busy.map { it.endpoint.id }.toSet()
-        return busy.map { EndpointLoadReport(it.endpoint.id, it.ownLoad.waitingTokens, it.ownLoad.requests) } +
-            ended.map { EndpointLoadReport(it, 0, 0) }
+    /**
+     * Returns the greatest loads of this instance at endpoints, and a load of zero for endpoints that were reported
+     * before and are not any more.
+     */
+    fun nextLoads(): List<EndpointLoadReport> {
+        val busiest = endpoints.allStates().filter { it.ownLoad.requests > 0 }
+            .sortedByDescending { it.ownLoad.waitingTokens }
+            .take(MAXIMUM_REPORTED_LOADS)
+        val reported = busiest.map { it.endpoint.id }.toSet()
+        val ended = reportedBusy - reported
+        reportedBusy = reported
+        return busiest.map { EndpointLoadReport(it.endpoint.id, it.ownLoad.waitingTokens, it.ownLoad.requests) } +
+            ended.map { EndpointLoadReport(it) }
     }
 
     private companion object {
         /** Several exchanges in a small fleet; after that the reported work has ended. */
         val LOAD_LIFETIME = 1.seconds
 
+        /** One report may be lost. A load that has ended keeps work away from an idle engine for as long. */
+        const val LOAD_LIFETIME_INTERVALS = 2
+        const val MAXIMUM_REPORTED_LOADS = 16
+
         /** Several exchanges in a small fleet; the sender repeats what still applies. */
         val AVOIDANCE_LIFETIME = 500.milliseconds
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerExchange.kt
@@ -11,31 +11,35 @@
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
 import kotlinx.coroutines.delay
-import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.cbor.Cbor
 import org.nutmegspring.gateway.http.EventLoop
 import org.nutmegspring.gateway.http.socketAddress
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A report and the addresses that it is sent to. */
+class AddressedReport(val report: PeerReport, val addresses: List<String>)
 
 /**
  * Exchanges reports with the other instances, as CBOR in UDP datagrams.
  *
- * Datagrams avoid connections that can hang without an error, and a lost report is replaced by the next one.
+ * Datagrams avoid connections that can hang without an error, and a lost report is replaced by the next one. The time
+ * between reports grows with their size and number, so that they never take more than [MAXIMUM_BYTES_PER_SECOND] of
+ * the link that also carries requests and the answers of the store.
  */
-@OptIn(ExperimentalSerializationApi::class)
 class PeerExchange(
     loop: EventLoop,
     address: String,
     private val onReport: (PeerReport) -> Unit,
     private val onUnreadable: (String) -> Unit,
 ) {
-    private val cbor = Cbor { ignoreUnknownKeys = true }
-
     /** The bytes sent and received. */
     val traffic = ExchangeTraffic()
 
+    /** The time between the last reports and the next ones. */
+    var interval: Duration = MINIMUM_INTERVAL
+        private set
+
     private val channel: Channel = Bootstrap()
         .group(loop.group)
         .channel(NioDatagramChannel::class.java)
@@ -45,31 +49,34 @@
         .sync()
         .channel()
 
-    /** Sends a new [report] to the current [targets] at each interval, until the coroutine is cancelled. */
-    suspend fun run(targets: () -> List<String>, report: () -> PeerReport): Nothing {
+    /** Sends what [createReports] returns at each interval, until the coroutine is cancelled. */
+    suspend fun run(createReports: () -> List<AddressedReport>): Nothing {
         while (true) {
-            val addresses = targets()
-            send(addresses, report())
-            delay(reportInterval(addresses.size))
+            send(createReports())
+            delay(interval)
         }
     }
 
-    /** Sends [report] once to each of [addresses]. */
-    fun send(addresses: List<String>, report: PeerReport) {
-        if (addresses.isEmpty()) return
-        val bytes = cbor.encodeToByteArray(PeerReport.serializer(), report)
-        traffic.recordSent(bytes.size, addresses.size)
-        addresses.forEach { channel.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), socketAddress(it))) }
+    /** Sends [reports] once. */
+    fun send(reports: List<AddressedReport>) {
+        var bytes = 0L
+        for (addressed in reports.filter { it.addresses.isNotEmpty() }) {
+            val encoded = PeerReportCodec.encode(addressed.report)
+            traffic.recordSent(encoded.size, addressed.addresses.size)
+            bytes += encoded.size.toLong() * addressed.addresses.size
+            addressed.addresses.forEach {
+                channel.write(DatagramPacket(Unpooled.wrappedBuffer(encoded), socketAddress(it)))
+            }
+        }
         channel.flush()
+        interval = maxOf(MINIMUM_INTERVAL, 1.seconds * (bytes.toDouble() / MAXIMUM_BYTES_PER_SECOND))
     }
 
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
         override fun channelRead0(context: ChannelHandlerContext, packet: DatagramPacket) {
             traffic.recordReceived(packet.content().readableBytes())
             try {
-                onReport(cbor.decodeFromByteArray(PeerReport.serializer(), ByteBufUtil.getBytes(packet.content())))
-            } catch (malformed: SerializationException) {
-                onUnreadable("report of ${packet.sender()} cannot be decoded: ${malformed.message}")
+                onReport(PeerReportCodec.decode(ByteBufUtil.getBytes(packet.content())))
             } catch (malformed: IllegalArgumentException) {
                 onUnreadable("report of ${packet.sender()} cannot be decoded: ${malformed.message}")
             }
@@ -81,14 +88,12 @@
         }
     }
 
-    /** Holds the interval of reports. */
-    companion object {
-        /** Computes the interval, which grows with the number of [peers] to bound the send rate of one instance. */
-        fun reportInterval(peers: Int): Duration = maxOf(MINIMUM_INTERVAL, INTERVAL_PER_PEER * peers)
-
+    private companion object {
         /** Loads change within tens of milliseconds, but each report costs processing time at sender and receivers. */
-        private val MINIMUM_INTERVAL = 100.milliseconds
-        private val INTERVAL_PER_PEER = 10.milliseconds
-        private const val MAXIMUM_DATAGRAM_BYTES = 65_507
+        val MINIMUM_INTERVAL = 100.milliseconds
+
+        /** Less than the 16 KB/s that an instance may spend on control, since calls to the store take some of it. */
+        const val MAXIMUM_BYTES_PER_SECOND = 14_000
+        const val MAXIMUM_DATAGRAM_BYTES = 65_507
     }
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
@@ -1,8 +1,8 @@
 package org.nutmegspring.gateway.peers
 
-import kotlinx.serialization.SerialName
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
-import org.nutmegspring.identity.DataCentreId
+import kotlinx.serialization.cbor.CborLabel
 import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.identity.Incarnation
 import org.nutmegspring.identity.InstanceId
@@ -12,73 +12,80 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /** The sender's outstanding work at one endpoint: queued tokens and requests. */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 data class EndpointLoadReport(
-    val endpoint: EndpointId,
-    val waitingTokens: Long,
-    val requests: Int,
+    @CborLabel(1) val endpoint: EndpointId,
+    @CborLabel(2) val waitingTokens: Long = 0,
+    @CborLabel(3) val requests: Int = 0,
 )
 
 /** A prompt that an engine prefilled for the sender. The lists hold the parts of the prompt in order. */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
-@SerialName("org.nutmegspring.gateway.peers.PromptReadReport")
 data class PrefillReport(
-    val engine: EndpointId,
-    val chainHashes: List<Long>,
-    val tokens: List<Int>,
+    @CborLabel(1) val engine: EndpointId,
+    @CborLabel(2) val chainHashes: List<Long>,
+    @CborLabel(3) val tokens: List<Int>,
 )
 
 /** The requests that began in one usage window, as counted by one process since its start. */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 data class WindowReport(
-    val window: Long,
-    val counts: Map<OrganisationId, Long>,
+    @CborLabel(1) val window: Long,
+    @CborLabel(2) val counts: Map<OrganisationId, Long>,
 )
 
 /** The counts of a process that no longer sends reports, as the sender last received them. */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 data class EndedProcessReport(
-    val incarnation: Incarnation,
-    val windows: List<WindowReport>,
+    @CborLabel(1) val incarnation: Incarnation,
+    @CborLabel(2) val windows: List<WindowReport>,
 )
 
 /**
- * The report that an instance sends to the others several times a second. Each report is complete in itself, so that a
- * lost one does no harm.
+ * The report that an instance sends to the others several times in a few seconds. What a lost report told is told again
+ * by a later one.
  *
  * @property startedAtMilliseconds when the process started, in milliseconds since the epoch
  * @property sequence increases with each report of one process
  * @property intervalMilliseconds the time until the sender's next report
  * @property evidenceAgeMilliseconds the age of the evidence that its configuration is the newest, null without evidence
+ * @property isDutyHolder whether the sender holds the duties
  * @property changingEngines engines to which the sender sends orders to change their role
- * @property endedProcesses counts of processes that recently stopped reporting, for instances that started afterwards
  * @property unreachableEndpoints endpoints that do not answer the sender
- * @property charges units charged to each organisation since the process started
+ * @property charges units charged since the process started, of some organisations; those of the others are unchanged
+ * @property windows counts of requests; only instances that take part in the duties receive them
+ * @property endedProcesses counts of processes that recently stopped reporting, for instances that started afterwards
  */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 data class PeerReport(
-    val instance: InstanceId,
-    val incarnation: Incarnation,
-    val startedAtMilliseconds: Long,
-    val sequence: Long,
-    val intervalMilliseconds: Long,
-    val dataCentre: DataCentreId,
-    val callerAddress: String,
-    val phase: InstancePhase,
-    val configurationVersion: Long,
-    val evidenceAgeMilliseconds: Long?,
-    val changingEngines: List<EndpointId>,
-    val unreachableEndpoints: List<EndpointId>,
-    val charges: Map<OrganisationId, Long>,
-    val loads: List<EndpointLoadReport>,
-    @SerialName("promptsRead")
-    val prefills: List<PrefillReport>,
-    val windows: List<WindowReport>,
-    val endedProcesses: List<EndedProcessReport>,
+    @CborLabel(1) val instance: InstanceId,
+    @CborLabel(2) val incarnation: Incarnation,
+    @CborLabel(3) val startedAtMilliseconds: Long,
+    @CborLabel(4) val sequence: Long,
+    @CborLabel(5) val intervalMilliseconds: Long,
+    @CborLabel(6) val phase: InstancePhase,
+    @CborLabel(7) val configurationVersion: Long = 0,
+    @CborLabel(8) val evidenceAgeMilliseconds: Long? = null,
+    @CborLabel(9) val isDutyHolder: Boolean = false,
+    @CborLabel(10) val changingEngines: List<EndpointId> = emptyList(),
+    @CborLabel(11) val unreachableEndpoints: List<EndpointId> = emptyList(),
+    @CborLabel(12) val charges: Map<OrganisationId, Long> = emptyMap(),
+    @CborLabel(13) val loads: List<EndpointLoadReport> = emptyList(),
+    @CborLabel(14) val prefills: List<PrefillReport> = emptyList(),
+    @CborLabel(15) val windows: List<WindowReport> = emptyList(),
+    @CborLabel(16) val endedProcesses: List<EndedProcessReport> = emptyList(),
 ) {
-    /** Returns how long the report is valid: at least [minimum], longer when the interval between reports is long. */
-    fun lifetime(minimum: Duration): Duration = maxOf(minimum, intervalMilliseconds.milliseconds * LIFETIME_INTERVALS)
+    /**
+     * Returns how long the report is valid: at least [minimum], and [intervals] times the interval between reports. By
+     * default, up to three consecutive reports may be lost.
+     */
+    fun lifetime(minimum: Duration, intervals: Int = DEFAULT_LIFETIME_INTERVALS): Duration =
+        maxOf(minimum, intervalMilliseconds.milliseconds * intervals)
 }
 
-/** The lifetime of a report in intervals, so that up to three consecutive reports may be lost. */
-private const val LIFETIME_INTERVALS = 4
+private const val DEFAULT_LIFETIME_INTERVALS = 4
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerTable.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerTable.kt
@@ -25,7 +25,12 @@
 
     private val records = HashMap<InstanceId, InstanceRecord>()
     private val reports = HashMap<InstanceId, ReceivedReport>()
-    private val lastSeenAt = HashMap<Incarnation, MonotonicTime>()
+
+    /** When each process was last heard of, and until when it is not taken for ended. */
+    private class Sighting(val seenAt: MonotonicTime, val validUntil: MonotonicTime)
+
+    private val sightings = HashMap<Incarnation, Sighting>()
+    private var nextRelayed = 0
     private val countsByWindow = sortedMapOf<Long, MutableMap<Incarnation, Map<OrganisationId, Long>>>()
 
     /** The records of the other instances. */
@@ -51,18 +56,18 @@
             if (!isSameProcess && report.startedAtMilliseconds < last.startedAtMilliseconds) return false
         }
         reports[report.instance] = ReceivedReport(report, now)
-        lastSeenAt[report.incarnation] = now
+        sightings[report.incarnation] = Sighting(now, now + report.lifetime(REPORT_TIMEOUT))
         report.windows.forEach { countsByWindow.getOrPut(it.window) { mutableMapOf() }[report.incarnation] = it.counts }
         report.endedProcesses.forEach { mergeEndedProcess(it, now) }
         while (countsByWindow.size > MAXIMUM_WINDOWS) countsByWindow.remove(countsByWindow.firstKey())
-        lastSeenAt.values.removeIf { now - it > ENDED_PROCESS_RETENTION }
+        sightings.values.removeIf { now - it.seenAt > ENDED_PROCESS_RETENTION }
         return true
     }
 
     /** Merges counts relayed by another instance. The counts of a process only grow, so that greater ones are newer. */
     private fun mergeEndedProcess(ended: EndedProcessReport, now: MonotonicTime) {
         if (ended.incarnation == ownIncarnation) return
-        lastSeenAt.putIfAbsent(ended.incarnation, now)
+        sightings.putIfAbsent(ended.incarnation, Sighting(now, now + REPORT_TIMEOUT))
         for (counted in ended.windows) {
             countsByWindow.getOrPut(counted.window) { mutableMapOf() }
                 .merge(ended.incarnation, counted.counts) { known, relayed ->
@@ -71,14 +76,31 @@
         }
     }
 
-    /** Returns the recent counts of processes that stopped reporting. */
-    fun endedProcesses(now: MonotonicTime): List<EndedProcessReport> =
-        lastSeenAt.filterValues { now - it > REPORT_TIMEOUT }.keys.mapNotNull { ended ->
-            val newest = countsByWindow.keys.lastOrNull() ?: return@mapNotNull null
-            val counted = countsByWindow.tailMap(newest - UNREPORTED_WINDOWS)
-                .mapNotNull { (window, counts) -> counts[ended]?.let { WindowReport(window, it) } }
-            EndedProcessReport(ended, counted).takeIf { counted.isNotEmpty() }
+    /**
+     * Returns the recent counts of processes that stopped reporting: those of [MAXIMUM_RELAYED_PROCESSES] at a time, in
+     * turn. The size of a report thus does not depend on how many instances are silent.
+     */
+    fun nextEndedProcesses(now: MonotonicTime): List<EndedProcessReport> {
+        val newest = countsByWindow.keys.lastOrNull() ?: return emptyList()
+        val unreported = countsByWindow.tailMap(newest - UNREPORTED_WINDOWS)
+        val ended = sightings.filter { (process, sighting) ->
+            now >= sighting.validUntil && unreported.values.any { process in it }
+        }.keys.sortedBy { it.value }
+        if (ended.isEmpty()) return emptyList()
+        val count = minOf(MAXIMUM_RELAYED_PROCESSES, ended.size)
+        val relayed = List(count) { ended[(nextRelayed + it) % ended.size] }
+        nextRelayed = (nextRelayed + count) % ended.size
+        return relayed.map { process ->
+            val windows = unreported.mapNotNull { (window, counts) ->
+                counts[process]?.let { WindowReport(window, it) }
+            }
+            EndedProcessReport(process, windows)
         }
+    }
+
+    /** Returns the instances that reported to hold the duties and whose report is still valid at [now]. */
+    fun dutyHolders(now: MonotonicTime): Set<InstanceId> =
+        liveReports(now).filter { it.isDutyHolder }.map { it.instance }.toSet()
 
     /** Returns the latest reports of the registered instances whose report is still valid at [now]. */
     fun liveReports(now: MonotonicTime): List<PeerReport> =
@@ -99,13 +121,15 @@
      */
     fun callerAddresses(own: OwnAddress, now: MonotonicTime): List<String> {
         val ready = liveReports(now).filter { it.phase == InstancePhase.READY }
-        val fresh = ready.filter { report -> report.evidenceAgeMilliseconds.isFresh() }.map { it.callerAddress }
+        val fresh = ready.filter { report -> report.evidenceAgeMilliseconds.isFresh() }.map(::callerAddress)
         val ownFresh = listOfNotNull(own.address.takeIf { own.isReady && own.evidenceAgeMilliseconds.isFresh() })
         val best = ownFresh + fresh
         if (best.isNotEmpty()) return best.sorted()
-        return (ready.map { it.callerAddress } + listOfNotNull(own.address.takeIf { own.isReady })).sorted()
+        return (ready.map(::callerAddress) + listOfNotNull(own.address.takeIf { own.isReady })).sorted()
     }
 
+    private fun callerAddress(report: PeerReport): String = records.getValue(report.instance).callerAddress
+
     private fun Long?.isFresh() = this != null && milliseconds < FRESH_EVIDENCE
 
     private companion object {
@@ -115,6 +139,7 @@
         /** Below the age of evidence at which an instance can no longer serve requests with keys. */
         val FRESH_EVIDENCE = 2800.milliseconds
         const val MAXIMUM_WINDOWS = 12
+        const val MAXIMUM_RELAYED_PROCESSES = 2
 
         /** The number of windows before the newest that may not be reported to the platform yet. */
         const val UNREPORTED_WINDOWS = 2L
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/UsageReporterSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/UsageReporterSpec.kt
@@ -64,6 +64,7 @@
             caller = dutyCaller(calls) { isHeld },
             store = store,
             countRequests = { mapOf(theatre to count) },
+            propagationTime = { Duration.ZERO },
             windowLength = 5.seconds,
             reportDeadline = 10.seconds,
             wallClockMilliseconds = { 100_000 + testScheduler.currentTime },
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/instance/PeerReportsSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/instance/PeerReportsSpec.kt
@@ -10,7 +10,6 @@
 import org.nutmegspring.gateway.peers.PeerTable
 import org.nutmegspring.gateway.store.FeedEntry
 import org.nutmegspring.gateway.store.Listing
-import org.nutmegspring.identity.DataCentreId
 import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.identity.Incarnation
 import org.nutmegspring.identity.InstanceId
@@ -44,18 +43,11 @@
         startedAtMilliseconds = 0,
         sequence = 1,
         intervalMilliseconds = 100,
-        dataCentre = DataCentreId("rennes"),
-        callerAddress = "a:1",
         phase = InstancePhase.READY,
         configurationVersion = 1,
         evidenceAgeMilliseconds = 0,
         changingEngines = changing.map(::EndpointId),
         unreachableEndpoints = unreachable.map(::EndpointId),
-        charges = emptyMap(),
-        loads = emptyList(),
-        prefills = emptyList(),
-        windows = emptyList(),
-        endedProcesses = emptyList(),
     )
 
     @Nested
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/peers/PeerTableSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/peers/PeerTableSpec.kt
@@ -2,7 +2,6 @@
 
 import org.junit.jupiter.api.Nested
 import org.nutmegspring.gateway.TestClock
-import org.nutmegspring.identity.DataCentreId
 import org.nutmegspring.identity.Incarnation
 import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.identity.OrganisationId
@@ -34,16 +33,9 @@
         startedAtMilliseconds = startedAt,
         sequence = sequence,
         intervalMilliseconds = interval,
-        dataCentre = DataCentreId("rennes"),
-        callerAddress = "$name:1",
         phase = phase,
         configurationVersion = 1,
         evidenceAgeMilliseconds = evidenceAge,
-        changingEngines = emptyList(),
-        unreachableEndpoints = emptyList(),
-        charges = emptyMap(),
-        loads = emptyList(),
-        prefills = emptyList(),
         windows = windows,
         endedProcesses = endedProcesses,
     )
@@ -119,14 +111,32 @@
         @Test
         fun `an instance that starts afterwards receives its counts from the others`() {
             table.recordReport(report("a", windows = listOf(WindowReport(7, mapOf(theatre to 3)))), clock.now())
-            assertEquals(emptyList(), table.endedProcesses(clock.now()))
+            assertEquals(emptyList(), table.nextEndedProcesses(clock.now()))
             clock.advance(2.seconds)
-            val relayed = table.endedProcesses(clock.now())
+            val relayed = table.nextEndedProcesses(clock.now())
             val later = PeerTable(InstanceId("later"), Incarnation(100))
             repeat(2) { later.recordReport(report("self", sequence = it + 1L, endedProcesses = relayed), clock.now()) }
             assertEquals(listOf(mapOf(theatre to 3L)), later.windowCounts(7))
         }
 
+        @Test
+        fun `the counts of many silent processes are relayed a few at a time until all were`() {
+            val windows = listOf(WindowReport(7, mapOf(theatre to 3)))
+            repeat(5) { table.recordReport(report("i$it", incarnation = it + 1L, windows = windows), clock.now()) }
+            clock.advance(2.seconds)
+            val relayed = List(3) { table.nextEndedProcesses(clock.now()) }
+            assertEquals(listOf(2, 2, 2), relayed.map { it.size })
+            assertEquals((1..5L).map(::Incarnation).toSet(), relayed.flatten().map { it.incarnation }.toSet())
+        }
+
+        @Test
+        fun `a process whose report is still valid does not count as ended`() {
+            val windows = listOf(WindowReport(7, mapOf(theatre to 3)))
+            table.recordReport(report("a", windows = windows, interval = 740), clock.now())
+            clock.advance(2.seconds)
+            assertEquals(emptyList(), table.nextEndedProcesses(clock.now()))
+        }
+
         @Test
         fun `relayed counts never replace greater ones`() {
             table.recordReport(report("a", windows = listOf(WindowReport(7, mapOf(theatre to 3)))), clock.now())
