Count only the last window of what other instances charged before this one started

What callers saw: 429 for requests within their quota, at instances that had just started.

Cause: a report states the units charged since its process started. An instance that hears another for the first time counted all of them as charged at that moment, and was over the quota of every busy organisation for a whole window. The same after a gap in the reports that is longer than the window.

Evidence: SharedQuotaSpec, eight instances that use 90% of the rate for a minute, and a ninth that starts: its first request was refused; the new test fails when the share in the window is taken as 1. How much of the refusals of the incident comes from it was not measured.

Why the fix works: units told at once for a longer time than the window count with the part of the window in that time. A second test bounds what the newcomer admits by what the others use in a window.

--- a/decisions/src/main/kotlin/org/nutmegspring/quota/SharedQuota.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/quota/SharedQuota.kt
@@ -21,6 +21,7 @@
  * A report by another process of its charges to one organisation.
  *
  * @property chargedUnits the units charged since that process started, null if they are as reported before
+ * @property runningFor the time since that process started
  * @property reportInterval the time until its next report
  * @property expiresAt when the report expires unless a newer one arrives; the instance then counts as unreachable
  */
@@ -28,6 +29,7 @@
     val instance: InstanceId,
     val incarnation: Incarnation,
     val chargedUnits: Long?,
+    val runningFor: Duration,
     val reportInterval: Duration,
     val expiresAt: MonotonicTime,
 )
@@ -54,9 +56,11 @@
  * shares of the instances they can reach, so that the groups of a partitioned fleet together stay within the quota.
  */
 class SharedQuota(rate: QuotaRate, private val window: Duration, now: MonotonicTime) {
+    private class ReceivedCharges(val charges: PeerCharges, val receivedAt: MonotonicTime)
+
     private var rate = rate
     private var availableShare = 1.0
-    private val lastReports = HashMap<InstanceId, PeerCharges>()
+    private val lastReports = HashMap<InstanceId, ReceivedCharges>()
     private val charged = SlidingSum(window, now)
     private val recentlyReported = SlidingSum(RECENT_WINDOW, now)
     private var reportInterval = Duration.ZERO
@@ -77,15 +81,24 @@
         rate = newRate
     }
 
-    /** Records the units that another instance has charged since its previous report. */
+    /**
+     * Records the units that another instance has charged since its previous report.
+     *
+     * If the time since then is longer than the window, the units are assumed to be spread evenly over it: those charged
+     * before the window do not count.
+     */
     fun recordPeerCharges(charges: PeerCharges, now: MonotonicTime) {
-        val last = lastReports[charges.instance]?.takeIf { it.incarnation == charges.incarnation }
-        val counted = last?.chargedUnits ?: 0
-        val chargedUnits = maxOf(counted, charges.chargedUnits ?: counted)
-        lastReports[charges.instance] = charges.copy(chargedUnits = chargedUnits)
-        val units = chargedUnits - counted
-        charged.add(units, now)
-        recentlyReported.add(units, now)
+        val last = lastReports[charges.instance]?.takeIf { it.charges.incarnation == charges.incarnation }
+        val counted = last?.charges?.chargedUnits
+        val chargedUnits = charges.chargedUnits ?: counted
+        lastReports[charges.instance] = ReceivedCharges(charges.copy(chargedUnits = chargedUnits), now)
+        if (chargedUnits != null) {
+            val span = if (last != null && counted != null) now - last.receivedAt else charges.runningFor
+            val shareInWindow = if (span > window) window / span else 1.0
+            val units = (maxOf(0, chargedUnits - (counted ?: 0)) * shareInWindow).toLong()
+            charged.add(units, now)
+            recentlyReported.add(units, now)
+        }
         reportInterval = charges.reportInterval
     }
 
@@ -96,7 +109,7 @@
      */
     fun updateMembers(others: Collection<InstanceId>, now: MonotonicTime) {
         lastReports.keys.retainAll(others.toSet())
-        val reachable = others.count { id -> lastReports[id]?.let { now < it.expiresAt } ?: false }
+        val reachable = others.count { id -> lastReports[id]?.let { now < it.charges.expiresAt } ?: false }
         availableShare = (reachable + 1.0) / (others.size + 1)
     }
 
--- a/decisions/src/test/kotlin/org/nutmegspring/quota/SharedQuotaSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/quota/SharedQuotaSpec.kt
@@ -20,8 +20,14 @@
 
     private fun at(milliseconds: Int) = MonotonicTime.ZERO + milliseconds.milliseconds
 
-    private fun report(instance: InstanceId, units: Long, time: Int, interval: Int) =
-        PeerCharges(instance, Incarnation(1), units, interval.milliseconds, at(time + maxOf(1500, 4 * interval)))
+    private fun report(instance: InstanceId, units: Long?, time: Int, interval: Int) = PeerCharges(
+        instance = instance,
+        incarnation = Incarnation(1),
+        chargedUnits = units,
+        runningFor = time.milliseconds,
+        reportInterval = interval.milliseconds,
+        expiresAt = at(time + maxOf(1500, 4 * interval)),
+    )
 
     /** Instances that exchange reports every [interval] ms. [isDelivered] decides by receiver, sender and time. */
     private inner class Fleet(
@@ -155,6 +161,44 @@
         }
     }
 
+    @Nested
+    inner class `when an instance starts while the others have long been running` {
+        private val others = ids.drop(1)
+
+        /** Reports what each of the others has charged when all together use 90% of the rate. */
+        private fun SharedQuota.receiveReports(time: Int) {
+            others.forEach { recordPeerCharges(report(it, 10_000L * time / 1000, time, interval = 100), at(time)) }
+            updateMembers(others, at(time))
+        }
+
+        @Test
+        fun `what they charged before the window does not use up the quota`() {
+            val quota = SharedQuota(rate, window, at(60_000))
+            for (time in 60_000 until 61_000 step 100) quota.receiveReports(time)
+            assertIs<QuotaDecision.Admitted>(quota.charge(5_000, at(61_000)))
+        }
+
+        @Test
+        fun `it stays within the quota together with them`() {
+            val quota = SharedQuota(rate, window, at(60_000))
+            for (time in 60_000 until 61_000 step 100) quota.receiveReports(time)
+            val admitted = (0 until 1000).count { quota.charge(5_000, at(61_000)) == QuotaDecision.Admitted }
+            assertTrue(admitted * 5_000 <= limit - 8 * 10_000 * others.size, "$admitted admitted")
+        }
+    }
+
+    @Nested
+    inner class `when a report does not state the charges` {
+        @Test
+        fun `they are as reported before`() {
+            val quota = SharedQuota(rate, window, at(0))
+            quota.recordPeerCharges(report(ids[1], 400_000, time = 0, interval = 100), at(0))
+            quota.recordPeerCharges(report(ids[1], null, time = 100, interval = 100), at(100))
+            quota.recordPeerCharges(report(ids[1], 450_000, time = 200, interval = 100), at(200))
+            assertEquals(90, (0 until 1000).count { quota.charge(5_000, at(1_300)) == QuotaDecision.Admitted })
+        }
+    }
+
     @Nested
     inner class `when an instance restarts with a new incarnation` {
         @Test
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
@@ -43,7 +43,11 @@
 }
 
 /** The quotas of all organisations at this instance. */
-class QuotaTable(private val clock: MonotonicClock, private val window: () -> Duration) {
+class QuotaTable(
+    private val clock: MonotonicClock,
+    private val wallClockMilliseconds: () -> Long = System::currentTimeMillis,
+    private val window: () -> Duration,
+) {
     private val quotas = HashMap<OrganisationId, SharedQuota>()
     private val reportedUnits = HashMap<OrganisationId, Long>()
     private var nextRepeated = 0
@@ -71,6 +75,7 @@
                 instance = report.instance,
                 incarnation = report.incarnation,
                 chargedUnits = report.charges[organisation],
+                runningFor = (wallClockMilliseconds() - report.startedAtMilliseconds).milliseconds,
                 reportInterval = report.intervalMilliseconds.milliseconds,
                 expiresAt = now + report.lifetime(MINIMUM_REPORT_LIFETIME),
             )
