Let a refund leave the quota window together with its charge

What callers could see: nothing; the endpoints could get more work of one organisation than its quota allows.

Cause: a refund was booked at the time of the refund, the charge at the time of the charge. When the charge had left the window, the refund was still in it, and the organisation could use its units a second time.

Evidence: SharedQuotaSpec, 400,000 units charged and refunded 4 s later: 260 requests of 5,000 units were admitted at 8.5 s where the quota allows 180.

Why the fix works: the refund is subtracted where the charge was added, so that both leave the window at once.

--- a/decisions/src/main/kotlin/org/nutmegspring/quota/SharedQuota.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/quota/SharedQuota.kt
@@ -84,8 +84,8 @@
     /**
      * Records the units that another instance has charged since its previous report.
      *
-     * If the time since then is longer than the window, the units are assumed to be spread evenly over it: those charged
-     * before the window do not count.
+     * If the time since then is longer than the window, the units are assumed to be spread evenly over it, and those
+     * charged before the window do not count.
      */
     fun recordPeerCharges(charges: PeerCharges, now: MonotonicTime) {
         val last = lastReports[charges.instance]?.takeIf { it.charges.incarnation == charges.incarnation }
@@ -125,9 +125,12 @@
         return QuotaDecision.Exceeded(charged.timeUntilFreed(units - available, now) ?: window)
     }
 
-    /** Refunds [units] of a request that did not run. The refund is local: other instances keep counting the units. */
-    fun refund(units: Long, now: MonotonicTime) {
-        charged.add(-units, now)
+    /**
+     * Refunds [units] of a request that was charged at [chargedAt] and did not run. The refund is local: the other
+     * instances keep counting them.
+     */
+    fun refund(units: Long, chargedAt: MonotonicTime, now: MonotonicTime) {
+        charged.subtract(units, chargedAt, now)
     }
 
     /** Estimates the units that other instances have charged since their last report, at most one interval ago. */
--- a/decisions/src/main/kotlin/org/nutmegspring/quota/SlidingSum.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/quota/SlidingSum.kt
@@ -17,6 +17,15 @@
         sum += units
     }
 
+    /** Subtracts [units] that were added at [addedAt], unless they have left the window at [now]. */
+    fun subtract(units: Long, addedAt: MonotonicTime, now: MonotonicTime) {
+        advance(now)
+        val bucket = bucketOf(addedAt)
+        if (bucket <= newestBucket - buckets.size) return
+        buckets[index(bucket)] -= units
+        sum -= units
+    }
+
     /** Returns the sum over the window that ends at [now]. */
     fun sum(now: MonotonicTime): Long {
         advance(now)
--- a/decisions/src/test/kotlin/org/nutmegspring/quota/SharedQuotaSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/quota/SharedQuotaSpec.kt
@@ -187,6 +187,21 @@
         }
     }
 
+    @Nested
+    inner class `when a charged request does not run` {
+        private val quota = SharedQuota(rate, window, at(0))
+
+        private fun countAdmitted(time: Int) =
+            (0 until 1000).count { quota.charge(5_000, at(time)) == QuotaDecision.Admitted }
+
+        @Test
+        fun `a refund does not outlast its charge and admit more than the quota`() {
+            quota.charge(400_000, at(0))
+            quota.refund(400_000, at(0), at(4_000))
+            assertEquals(180, countAdmitted(8_500))
+        }
+    }
+
     @Nested
     inner class `when a report does not state the charges` {
         @Test
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/GatewayHandler.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/GatewayHandler.kt
@@ -92,7 +92,7 @@
             }
 
             is RunEnd.NotRun -> {
-                run.admitted.organisation?.let { quotas.refund(it, run.admitted.tokens) }
+                run.admitted.organisation?.let { quotas.refund(it, run.admitted.tokens, run.startedAt) }
                 answer(run.exchange, STATUS_UNAVAILABLE, end.reason, end.retryAfter)
                 recordEnd(run, RequestOutcome.REFUSED, STATUS_UNAVAILABLE, end.reason)
             }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/RequestRun.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/RequestRun.kt
@@ -68,7 +68,8 @@
     /** The id of the request. */
     val id: RequestId = checkNotNull(admitted.facts.id) { "an admitted request has an id" }
 
-    private val startedAt = clock.now()
+    /** When the request was admitted and charged. */
+    val startedAt: MonotonicTime = clock.now()
 
     /** The time left until the deadline. */
     fun timeLeft(): Duration = (deadline - clock.now()).coerceAtLeast(Duration.ZERO)
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
@@ -13,6 +13,7 @@
 import org.nutmegspring.quota.QuotaDecision
 import org.nutmegspring.quota.SharedQuota
 import org.nutmegspring.time.MonotonicClock
+import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -95,9 +96,9 @@
         return quota.charge(units(organisation, tokens), clock.now())
     }
 
-    /** Refunds the charge for a request that did not run. */
-    fun refund(organisation: OrganisationDefinition, tokens: Long?) {
-        quotas[organisation.id]?.refund(units(organisation, tokens), clock.now())
+    /** Refunds the charge for a request that was charged at [chargedAt] and did not run. */
+    fun refund(organisation: OrganisationDefinition, tokens: Long?, chargedAt: MonotonicTime) {
+        quotas[organisation.id]?.refund(units(organisation, tokens), chargedAt, clock.now())
     }
 
     /**
