Do not tell the other instances charges that were refunded before the next report

What callers saw: 429 for organisations within their quota while engines were busy.

Cause: a request is charged before an engine is chosen for it. Where its wait would be too long it is refused at once and refunded, but the refund stayed at this instance: the next report told all others the charge of a request that had not run. Under load every refusal with 503 thus led to refusals with 429 elsewhere.

Evidence: SharedQuotaSpec, 5,000 units that were reported, then 7,000 charged and refunded at once: the next report said 12,000. What share of the incident's refusals comes from it was not measured.

Why the fix works: units that no report has told yet are taken out of the total.

--- a/decisions/src/main/kotlin/org/nutmegspring/quota/SharedQuota.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/quota/SharedQuota.kt
@@ -65,10 +65,21 @@
     private val recentlyReported = SlidingSum(RECENT_WINDOW, now)
     private var reportInterval = Duration.ZERO
 
+    private var reportedUnits = 0L
+
     /** The units that this process has charged since it started. */
     var chargedUnits: Long = 0
         private set
 
+    /** The units that this process has charged since [reportChargedUnits] was last called. */
+    val unreportedUnits: Long get() = chargedUnits - reportedUnits
+
+    /** Returns [chargedUnits] for a report to the other instances. */
+    fun reportChargedUnits(): Long {
+        reportedUnits = chargedUnits
+        return chargedUnits
+    }
+
     /**
      * Changes the rate.
      *
@@ -126,11 +137,12 @@
     }
 
     /**
-     * Refunds [units] of a request that was charged at [chargedAt] and did not run. The refund is local: the other
-     * instances keep counting them.
+     * Refunds [units] of a request that was charged at [chargedAt] and did not run. Units that were reported in the
+     * meantime are refunded here only: the other instances keep counting them.
      */
     fun refund(units: Long, chargedAt: MonotonicTime, now: MonotonicTime) {
         charged.subtract(units, chargedAt, now)
+        chargedUnits -= minOf(units, unreportedUnits)
     }
 
     /** Estimates the units that other instances have charged since their last report, at most one interval ago. */
--- a/decisions/src/test/kotlin/org/nutmegspring/quota/SharedQuotaSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/quota/SharedQuotaSpec.kt
@@ -194,6 +194,23 @@
         private fun countAdmitted(time: Int) =
             (0 until 1000).count { quota.charge(5_000, at(time)) == QuotaDecision.Admitted }
 
+        @Test
+        fun `units that were not reported are not told to the others`() {
+            quota.charge(5_000, at(0))
+            quota.reportChargedUnits()
+            quota.charge(7_000, at(100))
+            quota.refund(7_000, at(100), at(100))
+            assertEquals(5_000, quota.reportChargedUnits())
+        }
+
+        @Test
+        fun `units that were reported are never taken back from the others`() {
+            quota.charge(5_000, at(0))
+            quota.reportChargedUnits()
+            quota.refund(5_000, at(0), at(100))
+            assertEquals(5_000, quota.reportChargedUnits())
+        }
+
         @Test
         fun `a refund does not outlast its charge and admit more than the quota`() {
             quota.charge(400_000, at(0))
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
@@ -50,7 +50,6 @@
     private val window: () -> Duration,
 ) {
     private val quotas = HashMap<OrganisationId, SharedQuota>()
-    private val reportedUnits = HashMap<OrganisationId, Long>()
     private var nextRepeated = 0
 
     /** Updates the quota rates from [configuration]. */
@@ -106,20 +105,15 @@
      * changed most since they were reported, and of [REPEATED_CHARGES] others in turn, in case a report was lost.
      */
     fun nextCharges(): Map<OrganisationId, Long> {
-        val units = quotas.mapValues { it.value.chargedUnits }.filterValues { it > 0 }
-        val changed = units.keys.filter { unreportedUnits(it, units) > 0 }
-            .sortedByDescending { unreportedUnits(it, units) }
-            .take(MAXIMUM_CHANGED_CHARGES)
-        val unchanged = (units.keys - changed.toSet()).sortedBy { it.value }
-        val repeated = List(minOf(REPEATED_CHARGES, unchanged.size)) { unchanged[(nextRepeated + it) % unchanged.size] }
+        val (changed, unchanged) = quotas.filterValues { it.chargedUnits > 0 }.entries
+            .partition { it.value.unreportedUnits > 0 }
+        val mostChanged = changed.sortedByDescending { it.value.unreportedUnits }.take(MAXIMUM_CHANGED_CHARGES)
+        val others = unchanged.sortedBy { it.key.value }
+        val repeated = List(minOf(REPEATED_CHARGES, others.size)) { others[(nextRepeated + it) % others.size] }
         nextRepeated += repeated.size
-        reportedUnits.keys.retainAll(units.keys)
-        return (changed + repeated).associateWith { units.getValue(it) }.also { reportedUnits += it }
+        return (mostChanged + repeated).associate { it.key to it.value.reportChargedUnits() }
     }
 
-    private fun unreportedUnits(organisation: OrganisationId, units: Map<OrganisationId, Long>): Long =
-        units.getValue(organisation) - (reportedUnits[organisation] ?: 0)
-
     private fun units(organisation: OrganisationDefinition, tokens: Long?): Long = when (val unit = organisation.unit) {
         QuotaUnit.Requests -> 1
         is QuotaUnit.Tokens -> tokens ?: unit.defaultTokens
