Pace reports by the link of the instance and fill them accordingly

But reports of 1,000 to 1,400 bytes came only every 5 s, three usage windows were missed, and an instance with a fast link was held to the same rate.

Now reports take 1.5% of the own link, which is 13 KB/s for the smallest (7 Mbit/s) and leaves small fleets on fast links their report every 100 ms. A report holds as many entries as fit one a second. Usage counts are sent once a second at the most, those of three windows. Usage settles for half of the time until it is due at the longest.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/UsageReporter.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/UsageReporter.kt
@@ -36,6 +36,7 @@
     private val wallClockMilliseconds: () -> Long,
 ) {
     private val windows = TypedObjectStore(store, ClosedWindow.serializer())
+    private val maximumSettlingTime = maxOf(MINIMUM_SETTLING_TIME, reportDeadline / 2)
     private var nextWindow = 0L
 
     /** Reports windows until the coroutine is cancelled. */
@@ -49,7 +50,7 @@
     private suspend fun reportDueWindows() {
         val length = windowLength.inWholeMilliseconds
         val now = wallClockMilliseconds()
-        val settlingTime = maxOf(MINIMUM_SETTLING_TIME, propagationTime())
+        val settlingTime = propagationTime().coerceIn(MINIMUM_SETTLING_TIME, maximumSettlingTime)
         val lastClosed = Math.floorDiv(now - settlingTime.inWholeMilliseconds, length) - 1
         val oldestDue = Math.floorDiv(now - reportDeadline.inWholeMilliseconds, length)
         nextWindow = maxOf(nextWindow, oldestDue)
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
@@ -136,9 +136,9 @@
         }
     }
 
-    /** Returns the newest reports of prompts sent to engines since the last call. */
-    fun drainPrefillReports(): List<PrefillReport> {
-        val taken = pendingReports.toList()
+    /** Returns the [count] newest reports of prompts sent to engines since the last call. */
+    fun drainPrefillReports(count: Int): List<PrefillReport> {
+        val taken = pendingReports.takeLast(count)
         pendingReports.clear()
         return taken
     }
@@ -259,7 +259,7 @@
 
     private companion object {
         /** Maximum number of prompts in one report; the oldest are dropped because they matter less. */
-        const val MAXIMUM_PENDING_REPORTS = 8
+        const val MAXIMUM_PENDING_REPORTS = 100
         const val BYTES_PER_MILLISECOND_IN_MEGABIT = 125.0
     }
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
@@ -101,17 +101,15 @@
     }
 
     /**
-     * Returns the units charged so far, by organisation, for the next report: of the organisations whose units have
-     * changed most since they were reported, and of [REPEATED_CHARGES] others in turn, in case a report was lost.
+     * Returns the units charged so far, by organisation, for the next report: of the [count] organisations whose units
+     * have changed most since they were reported, and of one other in turn, in case a report was lost.
      */
-    fun nextCharges(): Map<OrganisationId, Long> {
+    fun nextCharges(count: Int): Map<OrganisationId, Long> {
         val (changed, unchanged) = quotas.filterValues { it.chargedUnits > 0 }.entries
             .partition { it.value.unreportedUnits > 0 }
-        val mostChanged = changed.sortedByDescending { it.value.unreportedUnits }.take(MAXIMUM_CHANGED_CHARGES)
-        val others = unchanged.sortedBy { it.key.value }
-        val repeated = List(minOf(REPEATED_CHARGES, others.size)) { others[(nextRepeated + it) % others.size] }
-        nextRepeated += repeated.size
-        return (mostChanged + repeated).associate { it.key to it.value.reportChargedUnits() }
+        val mostChanged = changed.sortedByDescending { it.value.unreportedUnits }.take(count)
+        val repeated = unchanged.sortedBy { it.key.value }.let { it.getOrNull(nextRepeated++ % maxOf(1, it.size)) }
+        return (mostChanged + listOfNotNull(repeated)).associate { it.key to it.value.reportChargedUnits() }
     }
 
     private fun units(organisation: OrganisationDefinition, tokens: Long?): Long = when (val unit = organisation.unit) {
@@ -122,7 +120,5 @@
     private companion object {
         /** Covers several exchanges in a small fleet; shorter gaps are common when messages are lost. */
         val MINIMUM_REPORT_LIFETIME = 1500.milliseconds
-        const val MAXIMUM_CHANGED_CHARGES = 64
-        const val REPEATED_CHARGES = 2
     }
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -43,6 +43,7 @@
 import org.nutmegspring.gateway.peers.OwnAddress
 import org.nutmegspring.gateway.peers.PeerExchange
 import org.nutmegspring.gateway.peers.PeerTable
+import org.nutmegspring.gateway.peers.ReportPacing
 import org.nutmegspring.gateway.settings.GatewaySettings
 import org.nutmegspring.gateway.settings.PlatformSettings
 import org.nutmegspring.gateway.store.FeedFollower
@@ -136,6 +137,7 @@
     )
     private val reports = PeerReports(self, peers, quotas, endpoints, clock)
 
+    private val pacing = ReportPacing(initial.instance.linkMegabitsPerSecond)
     private val composer = ReportComposer(
         LeaseHolder(self, incarnation),
         startedAtMilliseconds,
@@ -146,10 +148,11 @@
         engineChoice,
         usage,
         duties,
+        pacing,
         clock,
     )
     private val exchange: PeerExchange by lazy {
-        PeerExchange(loop, settings.addresses.exchange, reports::applyReport) {
+        PeerExchange(loop, settings.addresses.exchange, pacing, reports::applyReport) {
             log.record(DecisionEvent.Skipped("a report of an instance", it))
         }
     }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
@@ -58,13 +58,13 @@
     }
 
     /**
-     * Returns the greatest loads of this instance at endpoints, and a load of zero for endpoints that were reported
-     * before and are not any more.
+     * Returns the [count] greatest loads of this instance at endpoints, and a load of zero for endpoints that were
+     * reported before and are not any more.
      */
-    fun nextLoads(): List<EndpointLoadReport> {
+    fun nextLoads(count: Int): List<EndpointLoadReport> {
         val busiest = endpoints.allStates().filter { it.ownLoad.requests > 0 }
             .sortedByDescending { it.ownLoad.waitingTokens }
-            .take(MAXIMUM_REPORTED_LOADS)
+            .take(count)
         val reported = busiest.map { it.endpoint.id }.toSet()
         val ended = reportedBusy - reported
         reportedBusy = reported
@@ -76,9 +76,8 @@
         /** Several exchanges in a small fleet; after that the reported work has ended. */
         val LOAD_LIFETIME = 1.seconds
 
-        /** One report may be lost. A load that has ended keeps work away from an idle engine for as long. */
-        const val LOAD_LIFETIME_INTERVALS = 2
-        const val MAXIMUM_REPORTED_LOADS = 16
+        /** Only until the next report is due: an old load keeps work away from an idle engine. */
+        const val LOAD_LIFETIME_INTERVALS = 1
 
         /** Several exchanges in a small fleet; the sender repeats what still applies. */
         val AVOIDANCE_LIFETIME = 500.milliseconds
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/ReportComposer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/ReportComposer.kt
@@ -7,11 +7,14 @@
 import org.nutmegspring.gateway.peers.AddressedReport
 import org.nutmegspring.gateway.peers.PeerReport
 import org.nutmegspring.gateway.peers.PeerTable
+import org.nutmegspring.gateway.peers.ReportPacing
 import org.nutmegspring.gateway.peers.WindowReport
 import org.nutmegspring.lease.LeaseHolder
 import org.nutmegspring.membership.InstancePhase
 import org.nutmegspring.time.MonotonicClock
+import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Composes the reports of this instance to the others.
@@ -29,13 +32,16 @@
     private val engineChoice: EngineChoice,
     private val usage: UsageCounter,
     private val duties: InstanceDuties,
+    private val pacing: ReportPacing,
     private val clock: MonotonicClock,
 ) {
     private var sequence = 0L
+    private var usageSentAt: MonotonicTime? = null
 
     /** Returns the next reports of an instance in [phase] whose reports are [interval] apart. */
     fun compose(phase: InstancePhase, interval: Duration): List<AddressedReport> {
         val now = clock.now()
+        val entries = pacing.computeEntries(peers.registered.size)
         val report = PeerReport(
             instance = self.instance,
             incarnation = self.incarnation,
@@ -48,11 +54,11 @@
             isDutyHolder = duties.isHolding,
             changingEngines = duties.changingEngines(),
             unreachableEndpoints = reports.unreachableEndpoints(),
-            charges = quotas.nextCharges(),
-            loads = reports.nextLoads(),
-            prefills = engineChoice.drainPrefillReports(),
+            charges = quotas.nextCharges(entries.charges),
+            loads = reports.nextLoads(entries.loads),
+            prefills = engineChoice.drainPrefillReports(entries.prefills),
         )
-        val usageReaders = peers.dutyHolders(now) + duties.participants()
+        val usageReaders = if (isUsageDue(now)) peers.dutyHolders(now) + duties.participants() else emptySet()
         val (readers, others) = peers.registered.entries.partition { it.key in usageReaders }
         return listOf(
             AddressedReport(report, others.map { it.value.exchangeAddress }),
@@ -60,8 +66,21 @@
         )
     }
 
+    private fun isUsageDue(now: MonotonicTime): Boolean {
+        val isDue = usageSentAt?.let { now - it >= USAGE_INTERVAL } ?: true
+        if (isDue) usageSentAt = now
+        return isDue
+    }
+
     private fun withUsage(report: PeerReport): PeerReport = report.copy(
-        windows = usage.snapshot().map { (window, requests) -> WindowReport(window, requests) },
+        windows = usage.snapshot().map { (window, requests) -> WindowReport(window, requests) }.takeLast(SENT_WINDOWS),
         endedProcesses = peers.nextEndedProcesses(clock.now()),
     )
+
+    private companion object {
+        val USAGE_INTERVAL = 1.seconds
+
+        /** The current window and those that may not be reported to the platform yet. */
+        const val SENT_WINDOWS = 3
+    }
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerExchange.kt
@@ -14,8 +14,6 @@
 import org.nutmegspring.gateway.http.EventLoop
 import org.nutmegspring.gateway.http.socketAddress
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /** A report and the addresses that it is sent to. */
 class AddressedReport(val report: PeerReport, val addresses: List<String>)
@@ -23,13 +21,12 @@
 /**
  * Exchanges reports with the other instances, as CBOR in UDP datagrams.
  *
- * Datagrams avoid connections that can hang without an error, and a lost report is replaced by the next one. The time
- * between reports grows with their size and number, so that they never take more than [MAXIMUM_BYTES_PER_SECOND] of
- * the link that also carries requests and the answers of the store.
+ * Datagrams avoid connections that can hang without an error, and a lost report is replaced by the next one.
  */
 class PeerExchange(
     loop: EventLoop,
     address: String,
+    private val pacing: ReportPacing,
     private val onReport: (PeerReport) -> Unit,
     private val onUnreadable: (String) -> Unit,
 ) {
@@ -37,7 +34,7 @@
     val traffic = ExchangeTraffic()
 
     /** The time between the last reports and the next ones. */
-    var interval: Duration = MINIMUM_INTERVAL
+    var interval: Duration = pacing.computeInterval(bytes = 0, peers = 0)
         private set
 
     private val channel: Channel = Bootstrap()
@@ -69,7 +66,7 @@
             }
         }
         channel.flush()
-        interval = maxOf(MINIMUM_INTERVAL, 1.seconds * (bytes.toDouble() / MAXIMUM_BYTES_PER_SECOND))
+        interval = pacing.computeInterval(bytes, reports.sumOf { it.addresses.size })
     }
 
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
@@ -89,11 +86,6 @@
     }
 
     private companion object {
-        /** Loads change within tens of milliseconds, but each report costs processing time at sender and receivers. */
-        val MINIMUM_INTERVAL = 100.milliseconds
-
-        /** Less than the 16 KB/s that an instance may spend on control, since calls to the store take some of it. */
-        const val MAXIMUM_BYTES_PER_SECOND = 14_000
         const val MAXIMUM_DATAGRAM_BYTES = 65_507
     }
 }
--- /dev/null
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/ReportPacing.kt
@@ -0,0 +1,55 @@
+package org.nutmegspring.gateway.peers
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Decides how often reports are sent and how much one holds, so that they take a bounded share of the link, which also
+ * carries requests and the answers of the store.
+ *
+ * @param linkMegabitsPerSecond the bandwidth of the link
+ */
+class ReportPacing(linkMegabitsPerSecond: Double) {
+    private val bytesPerSecond = linkMegabitsPerSecond * BYTES_PER_MEGABIT * LINK_SHARE
+
+    /** Returns the time until the next reports after [bytes] were sent to [peers] instances. */
+    fun computeInterval(bytes: Long, peers: Int): Duration =
+        maxOf(MINIMUM_INTERVAL, INTERVAL_PER_PEER * peers, 1.seconds * (bytes / bytesPerSecond))
+
+    /** Returns how many entries a report to [peers] instances may hold. */
+    fun computeEntries(peers: Int): ReportEntries {
+        val entries = bytesPerSecond * TARGET_INTERVAL_SECONDS / maxOf(1, peers) / BYTES_PER_ENTRY
+        val total = entries.coerceIn(MINIMUM_ENTRIES, MAXIMUM_ENTRIES)
+        return ReportEntries(
+            charges = (total * CHARGES_SHARE).toInt(),
+            loads = (total * LOADS_SHARE).toInt(),
+            prefills = (total * PREFILLS_SHARE).toInt(),
+        )
+    }
+
+    private companion object {
+        const val BYTES_PER_MEGABIT = 125_000
+
+        /** The smallest links are filled by requests alone; this share stays within the target for control traffic. */
+        const val LINK_SHARE = 0.015
+
+        /** Loads change within tens of milliseconds, but each report costs processing time at sender and receivers. */
+        val MINIMUM_INTERVAL = 100.milliseconds
+        val INTERVAL_PER_PEER = 10.milliseconds
+        const val TARGET_INTERVAL_SECONDS = 1.0
+        const val BYTES_PER_ENTRY = 25
+        const val MINIMUM_ENTRIES = 12.0
+        const val MAXIMUM_ENTRIES = 100.0
+        const val CHARGES_SHARE = 0.5
+        const val LOADS_SHARE = 0.34
+        const val PREFILLS_SHARE = 0.17
+    }
+}
+
+/** How many entries of each kind a report may hold. */
+data class ReportEntries(
+    val charges: Int,
+    val loads: Int,
+    val prefills: Int,
+)
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/settings/GatewaySettings.kt
@@ -21,7 +21,13 @@
 data class InstanceSettings(
     val id: InstanceId,
     val dataCentre: DataCentreId,
-)
+    /** The bandwidth of the link that carries all traffic of the instance. */
+    val linkMegabitsPerSecond: Double = DEFAULT_LINK_MEGABITS_PER_SECOND,
+) {
+    private companion object {
+        const val DEFAULT_LINK_MEGABITS_PER_SECOND = 1000.0
+    }
+}
 
 /** Addresses on which the instance listens, as `host:port` with IP addresses. */
 @Serializable
