End answers of endpoints and the store whose bytes do not end

What callers would see: an instance that runs out of memory, and with it all requests it serves.

Cause: the body of an answer was collected without a limit at four places, an event of a stream too, and interim answers and answers to earlier requests were skipped without a limit.

Why the fix works: a body read whole is at most 4 MiB, an event 1 MiB, and 16 answers or 1 MiB are skipped; beyond, the connection is closed and the attempt fails with an unknown effect. One function reads a body for all callers.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
@@ -5,7 +5,6 @@
 import org.nutmegspring.failure.Step
 import org.nutmegspring.gateway.endpoints.EndpointState
 import org.nutmegspring.gateway.endpoints.EndpointTable
-import org.nutmegspring.gateway.http.AnswerPart
 import org.nutmegspring.gateway.peers.PrefillReport
 import org.nutmegspring.gateway.wire.DispatchStage
 import org.nutmegspring.gateway.wire.PrefilledPrompt
@@ -191,7 +190,9 @@
 
             is AttemptStart.Answering -> {
                 try {
-                    val handle = if (started.head.isSuccess) readBody(started)?.let(dialect::readPrefilled) else null
+                    val body = started.takeIf { it.head.isSuccess }
+                        ?.answer?.readBody(prefillEngine.endpoint.address)?.getOrNull()
+                    val handle = body?.let(dialect::readPrefilled)
                     attempt.recordFirstOutput()
                     handle
                 } finally {
@@ -201,17 +202,6 @@
         }
     }
 
-    private suspend fun readBody(started: AttemptStart.Answering): ByteArray? {
-        val body = BodyCollector()
-        while (true) {
-            when (val part = started.answer.next()) {
-                is AnswerPart.Body -> body.add(part.bytes)
-                is AnswerPart.End -> return body.whole()
-                is AnswerPart.Broken, is AnswerPart.Head -> return null
-            }
-        }
-    }
-
     private fun prepareEngine(
         run: RequestRun,
         engine: EndpointState,
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EventStream.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EventStream.kt
@@ -1,7 +1,5 @@
 package org.nutmegspring.gateway.forwarding
 
-import java.io.ByteArrayOutputStream
-
 /** One event of a stream with its closing empty line. [id] is null for an event without one. */
 class StreamEvent(val bytes: ByteArray, val id: String?)
 
@@ -12,6 +10,9 @@
     /** Whether a partial event is buffered. */
     val hasPartialEvent: Boolean get() = pending.isNotEmpty()
 
+    /** Whether the partial event is larger than any event that an engine in order sends. */
+    val isTooLarge: Boolean get() = pending.size > MAXIMUM_EVENT_BYTES
+
     /** Returns the events that [bytes] complete. */
     fun add(bytes: ByteArray): List<StreamEvent> {
         val all = if (pending.isEmpty()) bytes else pending + bytes
@@ -53,16 +54,6 @@
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val ID_FIELD = "id:"
+        const val MAXIMUM_EVENT_BYTES = 1024 * 1024
     }
 }
-
-/** Collects the body of an answer. */
-internal class BodyCollector {
-    private val bytes = ByteArrayOutputStream()
-
-    /** Adds a piece. */
-    fun add(piece: ByteArray) = bytes.write(piece)
-
-    /** Returns the whole body. */
-    fun whole(): ByteArray = bytes.toByteArray()
-}
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/ServiceForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/ServiceForwarder.kt
@@ -2,12 +2,9 @@
 
 import org.nutmegspring.failure.Effect
 import org.nutmegspring.failure.Failure
-import org.nutmegspring.failure.Peer
-import org.nutmegspring.failure.Step
 import org.nutmegspring.gateway.configuration.isRepeatable
 import org.nutmegspring.gateway.endpoints.EndpointState
 import org.nutmegspring.gateway.endpoints.EndpointTable
-import org.nutmegspring.gateway.http.AnswerPart
 import org.nutmegspring.gateway.http.withoutHopByHopHeaders
 import org.nutmegspring.gateway.wire.DispatchStage
 import org.nutmegspring.identity.DataCentreId
@@ -100,7 +97,10 @@
             is AttemptStart.Answering -> {
                 usage.recordStart(run.admitted, startedAt)
                 try {
-                    readWhole(started, endpoint)
+                    started.answer.readBody(endpoint.endpoint.address).fold(
+                        { Outcome.Failed(it) },
+                        { Outcome.Answered(WholeAnswer(started.head, it)) },
+                    )
                 } finally {
                     started.answer.close()
                 }
@@ -108,21 +108,6 @@
         }
     }
 
-    private suspend fun readWhole(started: AttemptStart.Answering, endpoint: EndpointState): Outcome {
-        val body = BodyCollector()
-        while (true) {
-            when (val part = started.answer.next()) {
-                is AnswerPart.Body -> body.add(part.bytes)
-                is AnswerPart.End -> return Outcome.Answered(WholeAnswer(started.head, body.whole()))
-                is AnswerPart.Broken -> return Outcome.Failed(brokenAnswer(endpoint, part.reason))
-                is AnswerPart.Head -> return Outcome.Failed(brokenAnswer(endpoint, "a second head in one answer"))
-            }
-        }
-    }
-
-    private fun brokenAnswer(endpoint: EndpointState, reason: String) =
-        Failure(Step.READ_ANSWER, Peer(endpoint.endpoint.address), Effect.UNKNOWN, reason)
-
     private fun recordOutcome(run: RequestRun, endpoint: EndpointState, outcome: Outcome, elapsed: Duration) {
         val now = clock.now()
         when (outcome) {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -166,6 +166,7 @@
             val part = awaitNextPart(run, attempt, started)
             if (part is AnswerPart.Body) {
                 events.add(part.bytes).forEach { forwardEvent(run, progress, started.head, it, attempt) }
+                if (events.isTooLarge) return recordFailure(run, prepared, brokenAnswer(prepared, "an endless event"))
             } else {
                 return finishAttempt(run, prepared, progress, started.head, events, part)
             }
@@ -240,24 +241,14 @@
         progress: Progress,
         started: AttemptStart.Answering,
     ): AttemptEnd {
-        val body = BodyCollector()
-        while (true) {
-            when (val part = awaitWithin(run.timeLeft()) { started.answer.next() }) {
-                is AnswerPart.Body -> body.add(part.bytes)
-
-                is AnswerPart.End -> break
-
-                else -> return recordFailure(
-                    run,
-                    prepared,
-                    brokenAnswer(prepared, "an answer of status ${started.head.status} broke off"),
-                )
-            }
-        }
+        val address = prepared.engine.endpoint.address
+        val body = awaitWithin(run.timeLeft()) { started.answer.readBody(address) }
+            ?: return recordFailure(run, prepared, run.timeoutFailure(address))
+        val bytes = body.fold({ return recordFailure(run, prepared, it) }, { it })
         if (progress.isStarted || started.head.isNotRunStatus || started.head.isSuccess) {
             return recordFailure(run, prepared, brokenAnswer(prepared, "answered ${started.head.status} without proof"))
         }
-        run.exchange.respond(started.head.status, started.head.headers.withoutHopByHopHeaders(), body.whole())
+        run.exchange.respond(started.head.status, started.head.headers.withoutHopByHopHeaders(), bytes)
         return AttemptEnd.Delivered(started.head.status)
     }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
@@ -54,6 +54,8 @@
     private var isExpected: (HttpHeaders) -> Boolean = { true }
     private var written: ChannelFuture? = null
     private var isSkipping = false
+    private var skippedAnswers = 0
+    private var skippedBytes = 0
     private var isReusable = true
     private var isComplete = false
 
@@ -74,6 +76,8 @@
         parts = answer
         this.isExpected = isExpected
         isComplete = false
+        skippedAnswers = 0
+        skippedBytes = 0
         val body = if (call.body.isEmpty()) Unpooled.EMPTY_BUFFER else Unpooled.wrappedBuffer(call.body)
         val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(call.method), call.target, body)
         request.headers().set(call.headers)
@@ -105,12 +109,12 @@
             }
 
             status < FIRST_FINAL_STATUS -> {
-                isSkipping = true
+                startSkipping()
             }
 
             !isExpected(response.headers()) -> {
-                isSkipping = true
                 isReusable = false
+                startSkipping()
             }
 
             else -> {
@@ -121,12 +125,20 @@
         }
     }
 
+    private fun startSkipping() {
+        isSkipping = true
+        if (++skippedAnswers > MAXIMUM_SKIPPED_ANSWERS) fail("more than $MAXIMUM_SKIPPED_ANSWERS answers skipped")
+    }
+
+    private fun skip(content: HttpContent) {
+        skippedBytes += content.content().readableBytes()
+        if (content is LastHttpContent) isSkipping = false
+        if (skippedBytes > MAXIMUM_SKIPPED_BYTES) fail("more than $MAXIMUM_SKIPPED_BYTES bytes skipped")
+    }
+
     private fun onContent(content: HttpContent) {
         val answer = parts
-        if (isSkipping) {
-            if (content is LastHttpContent) isSkipping = false
-            return
-        }
+        if (isSkipping) return skip(content)
         if (answer == null || isComplete) return
         if (content.content().isReadable) answer.trySend(AnswerPart.Body(ByteBufUtil.getBytes(content.content())))
         if (content is LastHttpContent) {
@@ -169,6 +181,10 @@
 
     private companion object {
         const val FIRST_FINAL_STATUS = 200
+
+        /** Interim answers and late answers to earlier requests are few and short. */
+        const val MAXIMUM_SKIPPED_ANSWERS = 16
+        const val MAXIMUM_SKIPPED_BYTES = 1024 * 1024
         val BODILESS_METHODS = setOf("GET", "DELETE")
         const val KEEP_ALIVE = "Keep-Alive"
         val TIMEOUT_PARAMETER = Regex("timeout=(\\d+)")
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnections.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnections.kt
@@ -35,9 +35,41 @@
     private val connection: EndpointConnection,
     /** The parts of the answer. */
     val parts: ReceiveChannel<AnswerPart>,
-) {
+) : AutoCloseable {
     private var isComplete = false
 
+    /**
+     * Reads the rest of the answer of [address]. A body of more than [maximumBytes] is a failure, since an endpoint in
+     * trouble may send bytes without end.
+     */
+    suspend fun readWhole(address: String, maximumBytes: Int = MAXIMUM_BODY_BYTES): Either<Failure, HttpAnswer> {
+        val head = when (val first = next()) {
+            is AnswerPart.Head -> first
+            is AnswerPart.Broken -> return brokenAnswer(address, first.reason).left()
+            is AnswerPart.Body, AnswerPart.End -> return brokenAnswer(address, "an answer without a head").left()
+        }
+        return readBody(address, maximumBytes).map { HttpAnswer(head.status, head.headers, it) }
+    }
+
+    /** Reads the body of the answer of [address], whose head has been read. [maximumBytes] is as for [readWhole]. */
+    suspend fun readBody(address: String, maximumBytes: Int = MAXIMUM_BODY_BYTES): Either<Failure, ByteArray> {
+        val body = ByteArrayOutputStream()
+        while (true) {
+            when (val part = next()) {
+                is AnswerPart.Body -> body.write(part.bytes)
+                is AnswerPart.End -> return body.toByteArray().right()
+                is AnswerPart.Broken -> return brokenAnswer(address, part.reason).left()
+                is AnswerPart.Head -> return brokenAnswer(address, "a second head in one answer").left()
+            }
+            if (body.size() > maximumBytes) {
+                return brokenAnswer(address, "a body larger than $maximumBytes bytes").left()
+            }
+        }
+    }
+
+    private fun brokenAnswer(address: String, reason: String) =
+        Failure(Step.READ_ANSWER, Peer(address), Effect.UNKNOWN, reason)
+
     /** Waits for the next part. [AnswerPart.End] and [AnswerPart.Broken] are the last one. */
     suspend fun next(): AnswerPart {
         val part = parts.receiveCatching().getOrNull() ?: AnswerPart.Broken("connection closed")
@@ -46,9 +78,15 @@
     }
 
     /** Closes the connection if the answer is incomplete. */
-    fun close() {
+    override fun close() {
         if (!isComplete) connection.close()
     }
+
+    /** Holds the default limit. */
+    companion object {
+        /** The largest body that is read as a whole, as large as the largest request that is accepted. */
+        const val MAXIMUM_BODY_BYTES = 4 * 1024 * 1024
+    }
 }
 
 /** Pools connections to endpoints and the platform by address. Not thread-safe: used on the event loop only. */
@@ -90,7 +128,7 @@
             val whole = withTimeoutOrNull(timeout) {
                 when (val opened = open(address, call)) {
                     is Either.Left -> opened
-                    is Either.Right -> readComplete(address, opened.value.also { answer = it })
+                    is Either.Right -> opened.value.also { answer = it }.readWhole(address)
                 }
             }
             whole ?: Failure(Step.READ_ANSWER, Peer(address), Effect.UNKNOWN, "no answer within $timeout").left()
@@ -104,31 +142,6 @@
         idle.remove(address)?.forEach { it.close() }
     }
 
-    private suspend fun readComplete(address: String, answer: OpenAnswer): Either<Failure, HttpAnswer> {
-        var head: AnswerPart.Head? = null
-        val body = ByteArrayOutputStream()
-        while (true) {
-            when (val part = answer.next()) {
-                is AnswerPart.Head -> {
-                    head = part
-                }
-
-                is AnswerPart.Body -> {
-                    body.write(part.bytes)
-                }
-
-                is AnswerPart.End -> {
-                    val complete = checkNotNull(head) { "answer from $address ended without a head" }
-                    return HttpAnswer(complete.status, complete.headers, body.toByteArray()).right()
-                }
-
-                is AnswerPart.Broken -> {
-                    return Failure(Step.READ_ANSWER, Peer(address), Effect.UNKNOWN, part.reason).left()
-                }
-            }
-        }
-    }
-
     private fun takeIdle(address: String): EndpointConnection? {
         val pooled = idle[address] ?: return null
         val now = clock.now()
