Serve no requests while departures of endpoints may have been missed

What callers saw: their requests reached endpoints 3,492 and 3,567 ms after these had said that they leave (DRAIN).

Cause: an instance served with its list of endpoints however old it was. In the incident the feed of configurations was answered again before that of endpoints: readiness of frontend-sweileh-8 passed at 18.863 s, its list was 8.5 s old when it changed at 20.765 s. An instance that started became ready on any list, too.

Why the fix works: the age of the list alone can't decide, because an outage of the store must not stop traffic. But when the store answered a call for configurations that began 1.5 s after the last proof of the list, and calls for endpoints fail, departures may have been missed: the instance answers 503 at once and is not ready, so that callers go to others. A starting instance waits for a list that is recent.

--- /dev/null
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointListCurrency.kt
@@ -0,0 +1,40 @@
+package org.nutmegspring.gateway.endpoints
+
+import org.nutmegspring.currency.FreshnessEvidence
+import org.nutmegspring.time.MonotonicTime
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Tells whether this instance has missed departures of endpoints that the store has accepted.
+ *
+ * The age of the list alone does not tell: during an outage of the store the endpoints stay in use. The list is behind
+ * when calls for its changes failed while the store answered calls for configurations that began later.
+ *
+ * @param configuration the evidence that the configuration is the newest
+ * @param departureTime returns how long an endpoint may still get requests after its departure was accepted
+ */
+class EndpointListCurrency(
+    private val endpoints: EndpointTable,
+    private val configuration: FreshnessEvidence,
+    private val departureTime: () -> Duration,
+) {
+    /** Whether the list is behind at [now], so that requests may reach endpoints that have left. */
+    fun isBehind(now: MonotonicTime): Boolean {
+        if (!endpoints.isFeedLost) return false
+        val age = endpoints.evidence.age(now) ?: return true
+        val configurationAge = configuration.age(now) ?: return false
+        return age > departureTime() * DISPATCH_SHARE && age - configurationAge > MAXIMUM_LAG
+    }
+
+    /** Whether the list is recent enough at [now] for an instance that starts to serve. */
+    fun isRecent(now: MonotonicTime): Boolean = endpoints.evidence.isYoungerThan(departureTime(), now)
+
+    private companion object {
+        /** The rest of the time is for requests that were admitted before. */
+        const val DISPATCH_SHARE = 0.8
+
+        /** Longer than either feed waits for changes in one call, so that feeds that follow do not differ by more. */
+        val MAXIMUM_LAG = 1500.milliseconds
+    }
+}
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointTable.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointTable.kt
@@ -38,6 +38,9 @@
     /** The evidence that the table is what the store holds. */
     val evidence = FreshnessEvidence()
 
+    /** Whether the store has not answered the last call for changes of endpoints. */
+    var isFeedLost: Boolean = false
+
     /** Whether a listing has been received. */
     var isListed: Boolean = false
         private set
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Admission.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Admission.kt
@@ -59,12 +59,14 @@
     private val currentConfiguration: CurrentConfiguration,
     private val clock: MonotonicClock,
     private val random: Random,
+    private val isEndpointListBehind: () -> Boolean,
     private val bounds: () -> AdmissionBounds,
 ) {
     /** Returns the admitted request or the reason for its refusal. Does not charge quotas. */
     fun decide(host: String, path: String, facts: RequestFacts): Either<Refusal, AdmittedRequest> = either {
         val configuration =
             currentConfiguration.configuration ?: raise(createUnavailable("no configuration is known yet"))
+        if (isEndpointListBehind()) raise(createUnavailable("departures of endpoints may have been missed"))
         if (facts.id == null) raise(Refusal.Malformed("the request has no id"))
         val route =
             configuration.findRoute(host, path) ?: raise(deferIfStale(Refusal.NoRoute("no route for the path")))
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/FeedListeners.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/FeedListeners.kt
@@ -77,6 +77,16 @@
         events.forEach { endpoints.applyChange(it, regainedAt, clock.now()) }
         endpoints.evidence.recordConfirmation(callStartedAt)
     }
+
+    override fun onLost(failure: StoreFailure) {
+        endpoints.isFeedLost = true
+        super.onLost(failure)
+    }
+
+    override fun onRegained() {
+        endpoints.isFeedLost = false
+        super.onRegained()
+    }
 }
 
 /** Applies changes of the listed instances. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -13,6 +13,7 @@
 import org.nutmegspring.gateway.duties.RoleOrderer
 import org.nutmegspring.gateway.duties.UsageReporter
 import org.nutmegspring.gateway.endpoints.EndpointChange
+import org.nutmegspring.gateway.endpoints.EndpointListCurrency
 import org.nutmegspring.gateway.endpoints.EndpointTable
 import org.nutmegspring.gateway.forwarding.Admission
 import org.nutmegspring.gateway.forwarding.AdmissionBounds
@@ -112,6 +113,9 @@
         if (change == EndpointChange.APPEARED || change == EndpointChange.GONE) connections.closeIdle(endpoint.address)
         log.record(DecisionEvent.EndpointChanged(endpoint, change))
     }
+    private val listCurrency = EndpointListCurrency(endpoints, currentConfiguration.evidence) {
+        settings.bounds.departureMilliseconds.milliseconds
+    }
     private val counts = WindowCounts(initial.bounds.usageWindow.inWholeMilliseconds)
     private val usage = UsageCounter(counts)
     private val sender = EndpointSender(connections, platform.dialect)
@@ -227,7 +231,13 @@
     }
 
     private fun createGatewayHandler(): RequestHandler {
-        val admission = Admission(currentConfiguration, clock, random, ::createAdmissionBounds)
+        val admission = Admission(
+            currentConfiguration,
+            clock,
+            random,
+            { listCurrency.isBehind(clock.now()) },
+            ::createAdmissionBounds,
+        )
         val dataCentre = settings.instance.dataCentre
         val services =
             ServiceForwarder(endpoints, sender, ServicePlacement(random), retries, usage, dataCentre, clock)
@@ -294,7 +304,7 @@
             loopDelay.record(TASK_INTERVAL, now - sleepStartedAt)
             endpoints.removeLapsed(now)
             quotas.updateMembers(peers.registered.keys)
-            val isServing = currentConfiguration.configuration != null && endpoints.isListed
+            val isServing = currentConfiguration.configuration != null && listCurrency.isRecent(now)
             if (phase == InstancePhase.JOINING && isServing) {
                 phase = InstancePhase.READY
                 log.record(DecisionEvent.PhaseChanged("ready", "configuration and endpoints are known"))
@@ -319,7 +329,7 @@
         longestLoopDelay = loopDelay.takeLongest(),
     )
 
-    private fun isReady(): Boolean = phase == InstancePhase.READY &&
+    private fun isReady(): Boolean = phase == InstancePhase.READY && !listCurrency.isBehind(clock.now()) &&
         currentConfiguration.evidence.isYoungerThan(settings.bounds.revocationMilliseconds.milliseconds, clock.now())
 
     private fun listCallerAddresses(): List<String> {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/settings/GatewaySettings.kt
@@ -62,6 +62,8 @@
     val revocationMilliseconds: Long,
     /** The time within which a configuration reaches all instances. */
     val configurationMilliseconds: Long,
+    /** How long an endpoint may still get requests after the store has accepted its departure. */
+    val departureMilliseconds: Long,
     /** How long a process may take to stop after it was told to. */
     val stopSeconds: Double,
     /** Retries at another endpoint allowed for each request. */
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/forwarding/AdmissionSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/forwarding/AdmissionSpec.kt
@@ -21,7 +21,7 @@
 class AdmissionSpec {
     private val clock = TestClock()
     private val currentConfiguration = CurrentConfiguration { }
-    private val admission = Admission(currentConfiguration, clock, Random(1)) {
+    private val admission = Admission(currentConfiguration, clock, Random(1), { false }) {
         AdmissionBounds(maximumEvidenceAge = 4500.milliseconds, maximumPropagationDelay = 1800.milliseconds)
     }
 
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/settings/GatewaySettingsLoaderSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/settings/GatewaySettingsLoaderSpec.kt
@@ -19,6 +19,7 @@
           strictRevocation: true
           revocationMilliseconds: 5000
           configurationMilliseconds: 2000
+          departureMilliseconds: 2000
           stopSeconds: 8
           retryRatio: 0.2
           retryExtra: 52
