--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
@@ -20,6 +20,7 @@
     private val endpoints: EndpointTable,
     private val clock: MonotonicClock,
 ) {
+    private var nextUnreachable = 0
     private var reportedBusy: Set<EndpointId> = emptySet()
 
     /** Applies [report]; outdated reports and those of this instance are skipped. */
@@ -57,6 +58,14 @@
         }.map { it.endpoint.id }
     }
 
+    /** Returns [count] of the endpoints that do not answer this instance, in turn when there are more. */
+    fun nextUnreachableEndpoints(count: Int): List<EndpointId> {
+        val unreachable = unreachableEndpoints()
+        val reported = List(minOf(count, unreachable.size)) { unreachable[(nextUnreachable + it) % unreachable.size] }
+        nextUnreachable += reported.size
+        return reported
+    }
+
     /**
      * Returns the [count] greatest loads of this instance at endpoints, and a load of zero for endpoints that were
      * reported before and are not any more.
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/ReportComposer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/ReportComposer.kt
@@ -53,7 +53,7 @@
             evidenceAgeMilliseconds = currentConfiguration.evidence.age(now)?.inWholeMilliseconds,
             isDutyHolder = duties.isHolding,
             changingEngines = duties.changingEngines(),
-            unreachableEndpoints = reports.unreachableEndpoints(),
+            unreachableEndpoints = reports.nextUnreachableEndpoints(entries.endpoints),
             charges = quotas.nextCharges(entries.charges),
             loads = reports.nextLoads(entries.loads),
             prefills = engineChoice.drainPrefillReports(entries.prefills),
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/ReportPacing.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/ReportPacing.kt
@@ -25,6 +25,7 @@
             charges = (total * CHARGES_SHARE).toInt(),
             loads = (total * LOADS_SHARE).toInt(),
             prefills = (total * PREFILLS_SHARE).toInt(),
+            endpoints = (total * ENDPOINTS_SHARE).toInt(),
         )
     }
 
@@ -44,12 +45,18 @@
         const val CHARGES_SHARE = 0.5
         const val LOADS_SHARE = 0.34
         const val PREFILLS_SHARE = 0.17
+        const val ENDPOINTS_SHARE = 0.34
     }
 }
 
-/** How many entries of each kind a report may hold. */
+/**
+ * How many entries of each kind a report may hold.
+ *
+ * @property endpoints the endpoints that do not answer the sender
+ */
 data class ReportEntries(
     val charges: Int,
     val loads: Int,
     val prefills: Int,
+    val endpoints: Int,
 )
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/instance/PeerReportsSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/instance/PeerReportsSpec.kt
@@ -98,6 +98,13 @@
             assertEquals(emptyList(), reports.unreachableEndpoints())
         }
 
+        @Test
+        fun `they are reported in turn when there are more than a report may hold`() {
+            makeUnreachable("e2", "e3")
+            val reported = List(2) { reports.nextUnreachableEndpoints(1).single().value }
+            assertEquals(setOf("e2", "e3"), reported.toSet())
+        }
+
         @Test
         fun `it is probed after a pause although other instances report it as unreachable too`() {
             makeUnreachable("e3")
