State the charges of all organisations in each report again

Found in reading the change: since reports state only some charges, the first units that a process which had run for long stated for an organisation were taken for units of its whole life, and only the part of one window was counted. A fleet could have admitted more than a quota. The new test of SharedQuotaSpec was written with the fix and not run without it.

Now a report states the charges of up to 48 organisations, changed ones first, and an organisation that a known process has not stated before was not charged there: its first units count in full. Only the first report of a process that was not known is spread over its life.

--- a/decisions/src/main/kotlin/org/nutmegspring/quota/SharedQuota.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/quota/SharedQuota.kt
@@ -20,7 +20,7 @@
 /**
  * A report by another process of its charges to one organisation.
  *
- * @property chargedUnits the units charged since that process started, null if they are as reported before
+ * @property chargedUnits the units charged since that process started, null if they are as reported before, or none
  * @property runningFor the time since that process started
  * @property reportInterval the time until its next report
  * @property expiresAt when the report expires unless a newer one arrives; the instance then counts as unreachable
@@ -100,16 +100,14 @@
      */
     fun recordPeerCharges(charges: PeerCharges, now: MonotonicTime) {
         val last = lastReports[charges.instance]?.takeIf { it.charges.incarnation == charges.incarnation }
-        val counted = last?.charges?.chargedUnits
+        val counted = last?.charges?.chargedUnits ?: 0
         val chargedUnits = charges.chargedUnits ?: counted
         lastReports[charges.instance] = ReceivedCharges(charges.copy(chargedUnits = chargedUnits), now)
-        if (chargedUnits != null) {
-            val span = if (last != null && counted != null) now - last.receivedAt else charges.runningFor
-            val shareInWindow = if (span > window) window / span else 1.0
-            val units = (maxOf(0, chargedUnits - (counted ?: 0)) * shareInWindow).toLong()
-            charged.add(units, now)
-            recentlyReported.add(units, now)
-        }
+        val span = if (last == null) charges.runningFor else now - last.receivedAt
+        val shareInWindow = if (span > window) window / span else 1.0
+        val units = (maxOf(0, chargedUnits - counted) * shareInWindow).toLong()
+        charged.add(units, now)
+        recentlyReported.add(units, now)
         reportInterval = charges.reportInterval
     }
 
--- a/decisions/src/test/kotlin/org/nutmegspring/quota/SharedQuotaSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/quota/SharedQuotaSpec.kt
@@ -221,6 +221,14 @@
 
     @Nested
     inner class `when a report does not state the charges` {
+        @Test
+        fun `there were none until a later report states them, and these count in full`() {
+            val quota = SharedQuota(rate, window, at(60_000))
+            quota.recordPeerCharges(report(ids[1], null, time = 60_000, interval = 100), at(60_000))
+            quota.recordPeerCharges(report(ids[1], 450_000, time = 60_100, interval = 100), at(60_100))
+            assertEquals(90, (0 until 1000).count { quota.charge(5_000, at(61_200)) == QuotaDecision.Admitted })
+        }
+
         @Test
         fun `they are as reported before`() {
             val quota = SharedQuota(rate, window, at(0))
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
@@ -101,15 +101,18 @@
     }
 
     /**
-     * Returns the units charged so far, by organisation, for the next report: of the [count] organisations whose units
-     * have changed most since they were reported, and of one other in turn, in case a report was lost.
+     * Returns the units charged so far, of at most [count] organisations, for the next report: first of those whose
+     * units have changed most since they were reported, then of the others in turn. A receiver takes an organisation
+     * that is never stated for one that was not charged, so [count] should be above the usual number of organisations.
      */
     fun nextCharges(count: Int): Map<OrganisationId, Long> {
         val (changed, unchanged) = quotas.filterValues { it.chargedUnits > 0 }.entries
             .partition { it.value.unreportedUnits > 0 }
         val mostChanged = changed.sortedByDescending { it.value.unreportedUnits }.take(count)
-        val repeated = unchanged.sortedBy { it.key.value }.let { it.getOrNull(nextRepeated++ % maxOf(1, it.size)) }
-        return (mostChanged + listOfNotNull(repeated)).associate { it.key to it.value.reportChargedUnits() }
+        val others = unchanged.sortedBy { it.key.value }
+        val repeated = List(minOf(count - mostChanged.size, others.size)) { others[(nextRepeated + it) % others.size] }
+        nextRepeated += repeated.size
+        return (mostChanged + repeated).associate { it.key to it.value.reportChargedUnits() }
     }
 
     private fun units(organisation: OrganisationDefinition, tokens: Long?): Long = when (val unit = organisation.unit) {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/ReportPacing.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/ReportPacing.kt
@@ -22,7 +22,7 @@
         val entries = bytesPerSecond * TARGET_INTERVAL_SECONDS / maxOf(1, peers) / BYTES_PER_ENTRY
         val total = entries.coerceIn(MINIMUM_ENTRIES, MAXIMUM_ENTRIES)
         return ReportEntries(
-            charges = (total * CHARGES_SHARE).toInt(),
+            charges = MAXIMUM_CHARGES,
             loads = (total * LOADS_SHARE).toInt(),
             prefills = (total * PREFILLS_SHARE).toInt(),
             endpoints = (total * ENDPOINTS_SHARE).toInt(),
@@ -42,10 +42,12 @@
         const val BYTES_PER_ENTRY = 25
         const val MINIMUM_ENTRIES = 12.0
         const val MAXIMUM_ENTRIES = 100.0
-        const val CHARGES_SHARE = 0.5
         const val LOADS_SHARE = 0.34
         const val PREFILLS_SHARE = 0.17
         const val ENDPOINTS_SHARE = 0.34
+
+        /** Quotas are exact only while the charges of all organisations fit. */
+        const val MAXIMUM_CHARGES = 48
     }
 }
 
