--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/ReportPacing.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/ReportPacing.kt
@@ -32,7 +32,7 @@
     private companion object {
         const val BYTES_PER_MEGABIT = 125_000
 
-        /** The smallest links are filled by requests alone; this share stays within the target for control traffic. */
+        /** On a link of 7 Mbit/s this is 13 KB/s, below the 16 KB/s that an instance may spend on control. */
         const val LINK_SHARE = 0.015
 
         /** Loads change within tens of milliseconds, but each report costs processing time at sender and receivers. */
