Take back only the charges that no report has told

What callers would see: nothing; an organisation gets more than its quota.

Cause: a refund took its units out of the total that the next report tells as far as any units were unreported, also those of other requests. The refund of a request that was reported before hid charges of requests that run.

SharedQuotaSpec, a refund of 5,000 reported units after a charge of 7,000: the next report said 7,000 instead of 12,000; the new test failed so without the fix.

Why the fix works: a charge is taken back only when it is newer than the last report, which then has not told it.

--- a/decisions/src/main/kotlin/org/nutmegspring/quota/SharedQuota.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/quota/SharedQuota.kt
@@ -66,6 +66,7 @@
     private var reportInterval = Duration.ZERO
 
     private var reportedUnits = 0L
+    private var reportedAt: MonotonicTime? = null
 
     /** The units that this process has charged since it started. */
     var chargedUnits: Long = 0
@@ -74,9 +75,10 @@
     /** The units that this process has charged since [reportChargedUnits] was last called. */
     val unreportedUnits: Long get() = chargedUnits - reportedUnits
 
-    /** Returns [chargedUnits] for a report to the other instances. */
-    fun reportChargedUnits(): Long {
+    /** Returns [chargedUnits] for a report to the other instances at [now]. */
+    fun reportChargedUnits(now: MonotonicTime): Long {
         reportedUnits = chargedUnits
+        reportedAt = now
         return chargedUnits
     }
 
@@ -140,7 +142,8 @@
      */
     fun refund(units: Long, chargedAt: MonotonicTime, now: MonotonicTime) {
         charged.subtract(units, chargedAt, now)
-        chargedUnits -= minOf(units, unreportedUnits)
+        val isReported = reportedAt?.let { chargedAt <= it } ?: false
+        if (!isReported) chargedUnits -= units
     }
 
     /** Estimates the units that other instances have charged since their last report, at most one interval ago. */
--- a/decisions/src/test/kotlin/org/nutmegspring/quota/SharedQuotaSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/quota/SharedQuotaSpec.kt
@@ -197,18 +197,27 @@
         @Test
         fun `units that were not reported are not told to the others`() {
             quota.charge(5_000, at(0))
-            quota.reportChargedUnits()
+            quota.reportChargedUnits(at(10))
             quota.charge(7_000, at(100))
             quota.refund(7_000, at(100), at(100))
-            assertEquals(5_000, quota.reportChargedUnits())
+            assertEquals(5_000, quota.reportChargedUnits(at(110)))
         }
 
         @Test
         fun `units that were reported are never taken back from the others`() {
             quota.charge(5_000, at(0))
-            quota.reportChargedUnits()
+            quota.reportChargedUnits(at(10))
             quota.refund(5_000, at(0), at(100))
-            assertEquals(5_000, quota.reportChargedUnits())
+            assertEquals(5_000, quota.reportChargedUnits(at(110)))
+        }
+
+        @Test
+        fun `a refund of reported units does not hide the charge of another request`() {
+            quota.charge(5_000, at(0))
+            quota.reportChargedUnits(at(10))
+            quota.charge(7_000, at(100))
+            quota.refund(5_000, at(0), at(200))
+            assertEquals(12_000, quota.reportChargedUnits(at(210)))
         }
 
         @Test
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
@@ -106,13 +106,14 @@
      * that is never stated for one that was not charged, so [count] should be above the usual number of organisations.
      */
     fun nextCharges(count: Int): Map<OrganisationId, Long> {
+        val now = clock.now()
         val (changed, unchanged) = quotas.filterValues { it.chargedUnits > 0 }.entries
             .partition { it.value.unreportedUnits > 0 }
         val mostChanged = changed.sortedByDescending { it.value.unreportedUnits }.take(count)
         val others = unchanged.sortedBy { it.key.value }
         val repeated = List(minOf(count - mostChanged.size, others.size)) { others[(nextRepeated + it) % others.size] }
         nextRepeated += repeated.size
-        return (mostChanged + repeated).associate { it.key to it.value.reportChargedUnits() }
+        return (mostChanged + repeated).associate { it.key to it.value.reportChargedUnits(now) }
     }
 
     private fun units(organisation: OrganisationDefinition, tokens: Long?): Long = when (val unit = organisation.unit) {
