Log the prompt parts of an answer that an engine cuts off, and whether the engine still listens

The hypotheses on the crashing prompt part could not be told apart: the log named neither the parts nor whether the engine had begun to answer, nor whether the process had ended or only the connection. An engine that cuts off an answer is probed with one connection; requests that break off together share it.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
@@ -43,8 +43,15 @@
     /** The endpoint answers; [answer] has to be closed. */
     class Answering(val head: AnswerHead, val answer: OpenAnswer) : AttemptStart
 
-    /** The endpoint did not run the request, or did not answer. [refusal] is null unless it stated why. */
-    class Failed(val failure: Failure, val refusal: EndpointRefusal? = null) : AttemptStart
+    /**
+     * The endpoint did not run the request, or did not answer. [refusal] is null unless it stated why. [isDisconnect]
+     * tells that it closed the connection instead of answering.
+     */
+    class Failed(
+        val failure: Failure,
+        val refusal: EndpointRefusal? = null,
+        val isDisconnect: Boolean = false,
+    ) : AttemptStart
 }
 
 /** Sends requests to endpoints and reads the heads of their answers. */
@@ -86,7 +93,7 @@
                 }
 
                 is AnswerPart.Broken -> {
-                    AttemptStart.Failed(unknown(dispatch, part.reason))
+                    AttemptStart.Failed(unknown(dispatch, part.reason), isDisconnect = part.isDisconnect)
                 }
 
                 is AnswerPart.Body, AnswerPart.End -> {
--- /dev/null
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineProbes.kt
@@ -0,0 +1,38 @@
+package org.nutmegspring.gateway.forwarding
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
+import org.nutmegspring.gateway.endpoints.ServingEndpoint
+import org.nutmegspring.gateway.http.ConnectionProbe
+import org.nutmegspring.gateway.http.EndpointConnections
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Probes engines that cut off an answer, to tell a crash of the process from a fault of one connection.
+ *
+ * All requests in flight at an engine break off with it, so probes at the same time share one connection.
+ */
+class EngineProbes(private val connections: EndpointConnections) {
+    private val running = HashMap<String, CompletableDeferred<ConnectionProbe>>()
+
+    /** Returns whether [engine] accepts connections. An engine that does not answer in time is unanswered. */
+    suspend fun probe(engine: ServingEndpoint): ConnectionProbe {
+        val address = engine.address
+        running[address]?.let { return it.await() }
+        val result = CompletableDeferred<ConnectionProbe>()
+        running[address] = result
+        var probed = ConnectionProbe.UNANSWERED
+        try {
+            probed = withTimeoutOrNull(PROBE_TIMEOUT) { connections.probe(address) } ?: ConnectionProbe.UNANSWERED
+        } finally {
+            running.remove(address)
+            result.complete(probed)
+        }
+        return probed
+    }
+
+    private companion object {
+        /** A refusal takes one round trip, and the caller waits for its retry meanwhile. */
+        val PROBE_TIMEOUT = 100.milliseconds
+    }
+}
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EventStream.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EventStream.kt
@@ -7,6 +7,10 @@
 class EventSplitter {
     private var pending = ByteArray(0)
 
+    /** The number of whole events so far. */
+    var count = 0
+        private set
+
     /** Whether a partial event is buffered. */
     val hasPartialEvent: Boolean get() = pending.isNotEmpty()
 
@@ -25,6 +29,7 @@
             start = end
             end = endOfEvent(all, start)
         }
+        count += events.size
         pending = if (start == 0) all else all.copyOfRange(start, all.size)
         return events
     }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/RequestRun.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/RequestRun.kt
@@ -10,6 +10,7 @@
 import org.nutmegspring.gateway.http.CallerExchange
 import org.nutmegspring.gateway.observe.DecisionEvent
 import org.nutmegspring.gateway.observe.DecisionLog
+import org.nutmegspring.gateway.observe.Interruption
 import org.nutmegspring.gateway.observe.RequestTrace
 import org.nutmegspring.gateway.wire.Dispatch
 import org.nutmegspring.gateway.wire.DispatchStage
@@ -97,10 +98,10 @@
         lastEvent = lastEvent,
     )
 
-    /** Records that the attempt at [endpoint] failed. */
-    fun recordFailure(endpoint: EndpointState, failure: Failure) {
+    /** Records that the attempt at [endpoint] failed, with [interruption] if the endpoint cut off its answer. */
+    fun recordFailure(endpoint: EndpointState, failure: Failure, interruption: Interruption? = null) {
         if (failure.effect == Effect.UNKNOWN) mayHaveRun = true
-        log.record(DecisionEvent.AttemptFailed(id, endpoint.endpoint.id, failure, elapsedMilliseconds()))
+        log.record(DecisionEvent.AttemptFailed(id, endpoint.endpoint.id, failure, elapsedMilliseconds(), interruption))
     }
 
     /** Returns the failure of a request that was not answered in time by [peer]. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -10,6 +10,7 @@
 import org.nutmegspring.gateway.endpoints.EndpointState
 import org.nutmegspring.gateway.http.AnswerPart
 import org.nutmegspring.gateway.http.withoutHopByHopHeaders
+import org.nutmegspring.gateway.observe.Interruption
 import org.nutmegspring.placement.EnginePlan
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -26,6 +27,7 @@
     private val retries: ServiceRetries,
     private val usage: UsageCounter,
     private val limit: QueueWaitLimit,
+    private val probes: EngineProbes,
 ) {
     /** The progress of the answer to one caller, over all attempts. */
     private class Progress(var lastEvent: String?) {
@@ -117,7 +119,7 @@
             }
 
             is AttemptEnd.Failed -> {
-                run.recordFailure(prepared.engine, end.failure)
+                run.recordFailure(prepared.engine, end.failure, findInterruption(run, prepared, end))
                 val runEnd = createRunEnd(run, progress, end.failure)
                 val canRetry = run.canRetry(end.failure.effect) && progress.canContinue
                 if (canRetry) Next.Retry(runEnd) else Next.Ended(runEnd)
@@ -125,10 +127,22 @@
         }
     }
 
+    /** Returns how the engine cut off its answer, or null if the attempt failed in another way. */
+    private suspend fun findInterruption(
+        run: RequestRun,
+        prepared: PreparedEngine,
+        end: AttemptEnd.Failed,
+    ): Interruption? {
+        if (!end.isDisconnect) return null
+        val parts = run.admitted.facts.prompt?.sharedParts.orEmpty()
+        return Interruption(parts, end.events, probes.probe(prepared.engine.endpoint))
+    }
+
     private sealed interface AttemptEnd {
         class Delivered(val status: Int) : AttemptEnd
 
-        class Failed(val failure: Failure) : AttemptEnd
+        /** [isDisconnect] if the engine closed the connection, after [events] whole events of this attempt. */
+        class Failed(val failure: Failure, val isDisconnect: Boolean, val events: Int) : AttemptEnd
     }
 
     private suspend fun attempt(run: RequestRun, prepared: PreparedEngine, progress: Progress): AttemptEnd {
@@ -144,7 +158,7 @@
             }
             return when (started) {
                 null -> recordFailure(run, prepared, run.timeoutFailure(engine.endpoint.address))
-                is AttemptStart.Failed -> recordFailure(run, prepared, started.failure, started.refusal)
+                is AttemptStart.Failed -> recordFailure(run, prepared, started)
                 is AttemptStart.Answering -> forwardEvents(run, prepared, progress, started, attempt)
             }
         } finally {
@@ -191,7 +205,8 @@
         }
 
         is AnswerPart.Broken -> {
-            recordFailure(run, prepared, brokenAnswer(prepared, part.reason))
+            val failure = brokenAnswer(prepared, part.reason)
+            recordFailure(run, prepared, failure, isDisconnect = part.isDisconnect, events = events.count)
         }
 
         null -> {
@@ -271,10 +286,16 @@
         run: RequestRun,
         prepared: PreparedEngine,
         failure: Failure,
-        refusal: EndpointRefusal? = null,
+        isDisconnect: Boolean = false,
+        events: Int = 0,
     ): AttemptEnd {
-        choice.recordFailure(run, prepared, failure, refusal)
-        return AttemptEnd.Failed(failure)
+        choice.recordFailure(run, prepared, failure, refusal = null)
+        return AttemptEnd.Failed(failure, isDisconnect, events)
+    }
+
+    private fun recordFailure(run: RequestRun, prepared: PreparedEngine, started: AttemptStart.Failed): AttemptEnd {
+        choice.recordFailure(run, prepared, started.failure, started.refusal)
+        return AttemptEnd.Failed(started.failure, started.isDisconnect, events = 0)
     }
 
     private fun brokenAnswer(prepared: PreparedEngine, reason: String) =
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
@@ -19,6 +19,7 @@
 import kotlinx.coroutines.channels.ReceiveChannel
 import org.nutmegspring.time.MonotonicClock
 import org.nutmegspring.time.MonotonicTime
+import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -35,8 +36,8 @@
     /** The answer is complete. */
     data object End : AnswerPart
 
-    /** The answer broke off or could not be read; no part follows. */
-    data class Broken(val reason: String) : AnswerPart
+    /** The answer broke off or could not be read; no part follows. [isDisconnect] if the endpoint's side closed. */
+    data class Broken(val reason: String, val isDisconnect: Boolean = false) : AnswerPart
 }
 
 /**
@@ -154,10 +155,10 @@
         if (isReusable && written?.isSuccess == true && channel.isActive) onIdle(this) else close()
     }
 
-    private fun fail(reason: String) {
+    private fun fail(reason: String, isDisconnect: Boolean = false) {
         isReusable = false
         parts?.let {
-            it.trySend(AnswerPart.Broken(reason))
+            it.trySend(AnswerPart.Broken(reason, isDisconnect))
             it.close()
         }
         parts = null
@@ -166,12 +167,12 @@
 
     @Deprecated("Netty calls this for every failure of a connection")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        fail("connection failed: ${cause.message}")
+        fail("connection failed: ${cause.message}", isDisconnect = cause is IOException)
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
         if (isComplete) parts = null
-        fail("connection closed")
+        fail("connection closed", isDisconnect = true)
     }
 
     private fun computeIdleTime(headers: HttpHeaders): Duration {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnections.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnections.kt
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpRequestEncoder
@@ -21,6 +22,7 @@
 import org.nutmegspring.failure.Step
 import org.nutmegspring.time.MonotonicClock
 import java.io.ByteArrayOutputStream
+import java.net.ConnectException
 import java.net.InetSocketAddress
 import kotlin.coroutines.resume
 import kotlin.time.Duration
@@ -89,6 +91,18 @@
     }
 }
 
+/** What became of an attempt to open a connection. */
+enum class ConnectionProbe {
+    /** A process accepted the connection. */
+    ACCEPTED,
+
+    /** The host answered that no process listens. */
+    REFUSED,
+
+    /** No answer came, so the host or the path to it may be at fault. */
+    UNANSWERED,
+}
+
 /** Pools connections to endpoints and the platform by address. Not thread-safe: used on the event loop only. */
 class EndpointConnections(
     private val loop: EventLoop,
@@ -137,6 +151,20 @@
         }
     }
 
+    /** Tells whether a process accepts connections at [address], by opening one that carries no request. */
+    suspend fun probe(address: String): ConnectionProbe {
+        val future = bootstrap(EndpointConnection(clock) { it.close() }).connect(socketAddress(address))
+        openedCount++
+        val channel = future.awaitChannel()
+        channel?.close()
+        val cause = future.cause()
+        return when {
+            channel != null -> ConnectionProbe.ACCEPTED
+            cause is ConnectException && cause !is ConnectTimeoutException -> ConnectionProbe.REFUSED
+            else -> ConnectionProbe.UNANSWERED
+        }
+    }
+
     /** Closes the idle connections to [address], which may belong to another endpoint now. */
     fun closeIdle(address: String) {
         idle.remove(address)?.forEach { it.close() }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -20,6 +20,7 @@
 import org.nutmegspring.gateway.forwarding.CurrentConfiguration
 import org.nutmegspring.gateway.forwarding.EndpointSender
 import org.nutmegspring.gateway.forwarding.EngineChoice
+import org.nutmegspring.gateway.forwarding.EngineProbes
 import org.nutmegspring.gateway.forwarding.GatewayHandler
 import org.nutmegspring.gateway.forwarding.QuotaTable
 import org.nutmegspring.gateway.forwarding.RetryBounds
@@ -241,7 +242,7 @@
         val dataCentre = settings.instance.dataCentre
         val services =
             ServiceForwarder(endpoints, sender, ServicePlacement(random), retries, usage, dataCentre, clock)
-        val streams = StreamForwarder(engineChoice, sender, retries, usage, QueueWaitLimit())
+        val streams = StreamForwarder(engineChoice, sender, retries, usage, QueueWaitLimit(), EngineProbes(connections))
         return GatewayHandler(
             platform.dialect,
             admission,
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
@@ -3,9 +3,11 @@
 import org.nutmegspring.failure.Failure
 import org.nutmegspring.gateway.endpoints.EndpointChange
 import org.nutmegspring.gateway.endpoints.ServingEndpoint
+import org.nutmegspring.gateway.http.ConnectionProbe
 import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.identity.FencingToken
 import org.nutmegspring.identity.OrganisationId
+import org.nutmegspring.identity.PromptPartId
 import org.nutmegspring.identity.RequestId
 import org.nutmegspring.placement.EnginePlan
 import kotlin.time.Duration
@@ -86,6 +88,7 @@
         private val endpoint: EndpointId,
         private val failure: Failure,
         private val elapsedMilliseconds: Long,
+        private val interruption: Interruption? = null,
     ) : DecisionEvent {
         override val name: String get() = "attempt failed"
 
@@ -97,6 +100,9 @@
             "effect" to failure.effect.name,
             "reason" to failure.message,
             "elapsedMilliseconds" to elapsedMilliseconds,
+            "promptParts" to interruption?.promptParts?.joinToString(","),
+            "events" to interruption?.events,
+            "endpointProbe" to interruption?.probe?.name?.lowercase(),
         )
     }
 
@@ -210,6 +216,19 @@
     }
 }
 
+/**
+ * An answer that an engine's side of the connection cut off.
+ *
+ * @property promptParts the shared parts of the prompt
+ * @property events the events of the answer that had arrived whole
+ * @property probe whether the engine accepted another connection just afterwards
+ */
+class Interruption(
+    val promptParts: List<PromptPartId>,
+    val events: Int,
+    val probe: ConnectionProbe,
+)
+
 /** The configuration version and evidence age on which the decision about a request was based. */
 data class DecisionBasis(
     val configurationVersion: Long?,
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/wire/RequestFacts.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/wire/RequestFacts.kt
@@ -3,6 +3,7 @@
 import org.nutmegspring.gateway.configuration.ApiKey
 import org.nutmegspring.gateway.endpoints.ServingEndpoint
 import org.nutmegspring.identity.OrganisationId
+import org.nutmegspring.identity.PromptPartId
 import org.nutmegspring.identity.RequestId
 import org.nutmegspring.placement.PromptPart
 import kotlin.time.Duration
@@ -11,12 +12,14 @@
  * What a request states about its prompt.
  *
  * @property chain the parts of the prompt in order; the last one belongs to this request or its session alone
+ * @property sharedParts the ids of the parts in order, without the last one
  */
 data class PromptFacts(
     val model: String,
     val promptTokens: Int,
     val outputTokens: Int,
     val chain: List<PromptPart>,
+    val sharedParts: List<PromptPartId> = emptyList(),
 ) {
     /** Tokens at the start of the prompt that other requests share. */
     val sharedTokens: Int get() = chain.dropLast(1).sumOf { it.tokens }
--- a/model/src/main/kotlin/org/nutmegspring/identity/Identifiers.kt
+++ b/model/src/main/kotlin/org/nutmegspring/identity/Identifiers.kt
@@ -49,6 +49,15 @@
     override fun toString(): String = value
 }
 
+/** Identifies one part of a prompt, whatever stands before it. Requests with equal text share the part. */
+@Serializable
+@JvmInline
+public value class PromptPartId(public val value: Long) : Comparable<PromptPartId> {
+    override fun compareTo(other: PromptPartId): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value.toULong().toString(HEXADECIMAL)
+}
+
 /** Identifies one request. The entry instance generates it at random and never reuses it. */
 @Serializable
 @JvmInline
