Quarantine prompt parts under which engines crash

Callers saw engines end one after the other: requests with one part in their prompt reached engines without end, and each was resumed at the next engine as soon as it had ended one. An instance took a connection that broke for a fault of the engine, and no instance knew what the others had seen.

A request that breaks off at its beginning with an engine that refuses connections afterwards is evidence against the shared parts of its prompt. Instances report this evidence again and again, also that of others, together with when they last completed an answer with the part. A request that ended its engine is retried at once only if all its parts were completed lately; otherwise reports are awaited.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/RequestRun.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/RequestRun.kt
@@ -15,6 +15,7 @@
 import org.nutmegspring.gateway.wire.Dispatch
 import org.nutmegspring.gateway.wire.DispatchStage
 import org.nutmegspring.identity.EndpointId
+import org.nutmegspring.identity.PromptPartId
 import org.nutmegspring.identity.RequestId
 import org.nutmegspring.placement.EnginePlan
 import org.nutmegspring.time.MonotonicClock
@@ -66,6 +67,9 @@
     /** Whether an endpoint may have begun to run the request. */
     var mayHaveRun = false
 
+    /** The parts of the prompt that other requests may share, in order; empty without a prompt. */
+    val sharedParts: List<PromptPartId> get() = admitted.facts.prompt?.sharedParts.orEmpty()
+
     /** The id of the request. */
     val id: RequestId = checkNotNull(admitted.facts.id) { "an admitted request has an id" }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -14,6 +14,7 @@
 import org.nutmegspring.placement.EnginePlan
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Sends requests to engines and forwards their events as they arrive.
@@ -27,7 +28,7 @@
     private val retries: ServiceRetries,
     private val usage: UsageCounter,
     private val limit: QueueWaitLimit,
-    private val probes: EngineProbes,
+    private val crashGuard: CrashGuard,
 ) {
     /** The progress of the answer to one caller, over all attempts. */
     private class Progress(var lastEvent: String?) {
@@ -66,6 +67,7 @@
     }
 
     private suspend fun nextAttempt(run: RequestRun, progress: Progress, last: RunEnd): Next {
+        findQuarantineEnd(run, last)?.let { return Next.Ended(it) }
         val plan = choice.choose(run, limit.computeMaximumWait(shortestObjective(run))) ?: return Next.Ended(last)
         if (run.trace.plan == null) run.trace.plan = plan
         val refusal = refusal(run, progress, plan)
@@ -81,14 +83,30 @@
 
             else -> {
                 when (val preparation = choice.prepare(run, plan)) {
-                    is Preparation.Ready -> attemptAt(run, progress, preparation.engine)
-                    Preparation.Replan -> Next.Retry(last)
-                    is Preparation.Impossible -> Next.Ended(createImpossibleEnd(run, preparation.reason, last))
+                    is Preparation.Ready -> {
+                        val end = findQuarantineEnd(run, last)
+                        if (end == null) attemptAt(run, progress, preparation.engine) else Next.Ended(end)
+                    }
+
+                    Preparation.Replan -> {
+                        Next.Retry(last)
+                    }
+
+                    is Preparation.Impossible -> {
+                        Next.Ended(createImpossibleEnd(run, preparation.reason, last))
+                    }
                 }
             }
         }
     }
 
+    /** Returns how [run] ends if a part of its prompt is quarantined, or null. */
+    private fun findQuarantineEnd(run: RequestRun, last: RunEnd): RunEnd? {
+        val part = crashGuard.refuse(run.sharedParts) ?: return null
+        if (run.mayHaveRun) return last
+        return RunEnd.NotRun("engines crash under the prompt part $part", QUARANTINE_RETRY_AFTER)
+    }
+
     /** Returns a refusal if the first output is expected too late, or null. */
     private fun refusal(run: RequestRun, progress: Progress, plan: EnginePlan): RunEnd? {
         if (progress.hasOutput) return null
@@ -119,9 +137,11 @@
             }
 
             is AttemptEnd.Failed -> {
-                run.recordFailure(prepared.engine, end.failure, findInterruption(run, prepared, end))
+                val interruption = findInterruption(run, prepared, end)
+                run.recordFailure(prepared.engine, end.failure, interruption)
                 val runEnd = createRunEnd(run, progress, end.failure)
-                val canRetry = run.canRetry(end.failure.effect) && progress.canContinue
+                val canRetry = run.canRetry(end.failure.effect) && progress.canContinue &&
+                    (interruption == null || crashGuard.awaitRetry(run.sharedParts, interruption, run::timeLeft))
                 if (canRetry) Next.Retry(runEnd) else Next.Ended(runEnd)
             }
         }
@@ -134,8 +154,7 @@
         end: AttemptEnd.Failed,
     ): Interruption? {
         if (!end.isDisconnect) return null
-        val parts = run.admitted.facts.prompt?.sharedParts.orEmpty()
-        return Interruption(parts, end.events, probes.probe(prepared.engine.endpoint))
+        return crashGuard.recordDisconnect(run.sharedParts, prepared.engine.endpoint, end.events)
     }
 
     private sealed interface AttemptEnd {
@@ -201,6 +220,7 @@
             if (!progress.isStarted) start(run, progress, head)
             run.exchange.finish()
             choice.recordSuccess(run, prepared)
+            crashGuard.recordCompletion(run.sharedParts)
             AttemptEnd.Delivered(head.status)
         }
 
@@ -310,5 +330,8 @@
     private companion object {
         /** A full engine frees capacity after about one request. */
         val RETRY_PAUSE = 150.milliseconds
+
+        /** The request can't be served before the engines or its prompt have changed. */
+        val QUARANTINE_RETRY_AFTER = 60.seconds
     }
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -17,6 +17,7 @@
 import org.nutmegspring.gateway.endpoints.EndpointTable
 import org.nutmegspring.gateway.forwarding.Admission
 import org.nutmegspring.gateway.forwarding.AdmissionBounds
+import org.nutmegspring.gateway.forwarding.CrashGuard
 import org.nutmegspring.gateway.forwarding.CurrentConfiguration
 import org.nutmegspring.gateway.forwarding.EndpointSender
 import org.nutmegspring.gateway.forwarding.EngineChoice
@@ -123,6 +124,7 @@
     private val retries = ServiceRetries(clock, ::createRetryBounds) { peers.registered.size + 1 }
     private val engineChoice =
         EngineChoice(endpoints, sender, platform.dialect, retries, initial.instance.dataCentre, clock)
+    private val crashGuard = CrashGuard(EngineProbes(connections), clock, log) { exchange.interval }
     private var phase = InstancePhase.JOINING
     private val servers = mutableListOf<HttpServer>()
     private val duties = InstanceDuties(
@@ -140,7 +142,7 @@
         clock,
         log,
     )
-    private val reports = PeerReports(self, peers, quotas, endpoints, clock)
+    private val reports = PeerReports(self, peers, quotas, endpoints, crashGuard, clock)
 
     private val pacing = ReportPacing(initial.instance.linkMegabitsPerSecond)
     private val composer = ReportComposer(
@@ -242,7 +244,7 @@
         val dataCentre = settings.instance.dataCentre
         val services =
             ServiceForwarder(endpoints, sender, ServicePlacement(random), retries, usage, dataCentre, clock)
-        val streams = StreamForwarder(engineChoice, sender, retries, usage, QueueWaitLimit(), EngineProbes(connections))
+        val streams = StreamForwarder(engineChoice, sender, retries, usage, QueueWaitLimit(), crashGuard)
         return GatewayHandler(
             platform.dialect,
             admission,
@@ -304,6 +306,7 @@
             val now = clock.now()
             loopDelay.record(TASK_INTERVAL, now - sleepStartedAt)
             endpoints.removeLapsed(now)
+            crashGuard.update()
             quotas.updateMembers(peers.registered.keys)
             val isServing = currentConfiguration.configuration != null && listCurrency.isRecent(now)
             if (phase == InstancePhase.JOINING && isServing) {
@@ -368,6 +371,9 @@
         metrics.registerGauge("gateway_endpoints") { endpoints.allStates().size.toDouble() }
         metrics.registerGauge("gateway_live_peers") { peers.liveReports(clock.now()).size.toDouble() }
         metrics.registerGauge("gateway_connections_opened") { connections.openedCount.toDouble() }
+        metrics.registerGauge("gateway_engine_crashes") { crashGuard.crashCount.toDouble() }
+        metrics.registerGauge("gateway_quarantined_prompt_parts") { crashGuard.quarantinedCount.toDouble() }
+        metrics.registerGauge("gateway_quarantine_refusals") { crashGuard.refusalCount.toDouble() }
         metrics.registerGauge("gateway_duty_held") { if (duties.isHolding) 1.0 else 0.0 }
     }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
@@ -1,10 +1,12 @@
 package org.nutmegspring.gateway.instance
 
 import org.nutmegspring.gateway.endpoints.EndpointTable
+import org.nutmegspring.gateway.forwarding.CrashGuard
 import org.nutmegspring.gateway.forwarding.QuotaTable
 import org.nutmegspring.gateway.peers.EndpointLoadReport
 import org.nutmegspring.gateway.peers.PeerReport
 import org.nutmegspring.gateway.peers.PeerTable
+import org.nutmegspring.gateway.peers.PromptPartEntry
 import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.placement.PromptPart
@@ -18,6 +20,7 @@
     private val peers: PeerTable,
     private val quotas: QuotaTable,
     private val endpoints: EndpointTable,
+    private val crashGuard: CrashGuard,
     private val clock: MonotonicClock,
 ) {
     private var nextUnreachable = 0
@@ -40,6 +43,7 @@
         }
         report.changingEngines.forEach { endpoints.findState(it)?.avoidUntil(avoidanceEnd) }
         report.unreachableEndpoints.forEach { endpoints.findState(it)?.recordUnreachableFromPeer(now, avoidanceEnd) }
+        report.promptParts.forEach(crashGuard::applyEntry)
         report.prefills.forEach { prefill ->
             val chain = prefill.chainHashes.zip(prefill.tokens, ::PromptPart)
             endpoints.findState(prefill.engine)?.recordPrefill(chain)
@@ -58,6 +62,9 @@
         }.map { it.endpoint.id }
     }
 
+    /** Returns what is known of [count] prompt parts under which engines crashed, in turn when there are more. */
+    fun nextPromptParts(count: Int): List<PromptPartEntry> = crashGuard.nextEntries(count)
+
     /** Returns [count] of the endpoints that do not answer this instance, in turn when there are more. */
     fun nextUnreachableEndpoints(count: Int): List<EndpointId> {
         val unreachable = unreachableEndpoints()
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
@@ -106,6 +106,23 @@
         )
     }
 
+    /** Two engines crashed under a prompt part, or it was quarantined or is served again. */
+    class PromptPartChanged(
+        private val part: PromptPartId,
+        private val change: String,
+        private val crashes: Int?,
+        private val age: Duration,
+    ) : DecisionEvent {
+        override val name: String get() = "prompt part changed"
+
+        override fun fields(): Map<String, Any?> = mapOf(
+            "promptPart" to part.toString(),
+            "change" to change,
+            "crashes" to crashes,
+            "ageMilliseconds" to age.inWholeMilliseconds,
+        )
+    }
+
     /** The endpoint table changed. */
     class EndpointChanged(
         private val endpoint: ServingEndpoint,
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
@@ -7,6 +7,7 @@
 import org.nutmegspring.identity.Incarnation
 import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.identity.OrganisationId
+import org.nutmegspring.identity.PromptPartId
 import org.nutmegspring.membership.InstancePhase
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -45,6 +46,18 @@
     @CborLabel(2) val windows: List<WindowReport>,
 )
 
+/** What the sender knows of a prompt part under which engines crashed. Ages are in milliseconds. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+data class PromptPartEntry(
+    @CborLabel(1) val part: PromptPartId,
+    @CborLabel(2) val depth: Int,
+    @CborLabel(3) val crashAges: Map<Long, Long> = emptyMap(),
+    @CborLabel(4) val completionAge: Long? = null,
+    @CborLabel(5) val quarantineAge: Long? = null,
+    @CborLabel(6) val requestAge: Long? = null,
+)
+
 /**
  * The report that an instance sends to the others several times in a few seconds. What a lost report told is told again
  * by a later one.
@@ -58,6 +71,7 @@
  * @property unreachableEndpoints endpoints that do not answer the sender
  * @property charges units charged since the process started, of some organisations; those of the others are unchanged
  * @property windows counts of requests; only instances that take part in the duties receive them
+ * @property promptParts prompt parts under which engines crashed, told again until they expire
  * @property endedProcesses counts of processes that recently stopped reporting, for instances that started afterwards
  */
 @OptIn(ExperimentalSerializationApi::class)
@@ -79,6 +93,7 @@
     @CborLabel(14) val prefills: List<PrefillReport> = emptyList(),
     @CborLabel(15) val windows: List<WindowReport> = emptyList(),
     @CborLabel(16) val endedProcesses: List<EndedProcessReport> = emptyList(),
+    @CborLabel(17) val promptParts: List<PromptPartEntry> = emptyList(),
 ) {
     /**
      * Returns how long the report is valid: at least [minimum], and [intervals] times the interval between reports. By
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/ReportPacing.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/ReportPacing.kt
@@ -26,6 +26,7 @@
             loads = (total * LOADS_SHARE).toInt(),
             prefills = (total * PREFILLS_SHARE).toInt(),
             endpoints = (total * ENDPOINTS_SHARE).toInt(),
+            promptParts = maxOf(MINIMUM_PROMPT_PARTS, (total * PROMPT_PARTS_SHARE).toInt()),
         )
     }
 
@@ -46,6 +47,10 @@
         const val PREFILLS_SHARE = 0.17
         const val ENDPOINTS_SHARE = 0.34
 
+        /** An entry takes about as much as four of the others. */
+        const val PROMPT_PARTS_SHARE = 0.08
+        const val MINIMUM_PROMPT_PARTS = 2
+
         /** Quotas are exact only while the charges of all organisations fit. */
         const val MAXIMUM_CHARGES = 48
     }
@@ -55,10 +60,12 @@
  * How many entries of each kind a report may hold.
  *
  * @property endpoints the endpoints that do not answer the sender
+ * @property promptParts the prompt parts under which engines crashed
  */
 data class ReportEntries(
     val charges: Int,
     val loads: Int,
     val prefills: Int,
     val endpoints: Int,
+    val promptParts: Int,
 )
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/Fixtures.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/Fixtures.kt
@@ -9,6 +9,10 @@
 import org.nutmegspring.gateway.configuration.ServiceShare
 import org.nutmegspring.gateway.configuration.ServingConfiguration
 import org.nutmegspring.gateway.endpoints.ServingEndpoint
+import org.nutmegspring.gateway.forwarding.CrashGuard
+import org.nutmegspring.gateway.forwarding.EngineProbes
+import org.nutmegspring.gateway.http.EndpointConnections
+import org.nutmegspring.gateway.http.EventLoop
 import org.nutmegspring.identity.DataCentreId
 import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.identity.OrganisationId
@@ -17,6 +21,7 @@
 import org.nutmegspring.time.MonotonicClock
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** A clock that stands still until [advance] is called. */
@@ -86,3 +91,8 @@
     role = null,
     bornAt = bornAt,
 )
+
+internal fun crashGuardOf(clock: MonotonicClock): CrashGuard {
+    val connections = EndpointConnections(EventLoop(), clock, 1.seconds)
+    return CrashGuard(EngineProbes(connections), clock, { }) { 100.milliseconds }
+}
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/instance/PeerReportsSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/instance/PeerReportsSpec.kt
@@ -2,6 +2,7 @@
 
 import org.junit.jupiter.api.Nested
 import org.nutmegspring.gateway.TestClock
+import org.nutmegspring.gateway.crashGuardOf
 import org.nutmegspring.gateway.endpointOf
 import org.nutmegspring.gateway.endpoints.EndpointState
 import org.nutmegspring.gateway.endpoints.EndpointTable
@@ -25,7 +26,16 @@
     private val table = EndpointTable({ 1_000 }) { _, _ -> }
     private val self = InstanceId("self")
     private val reports =
-        PeerReports(self, PeerTable(self, Incarnation(9)), QuotaTable(clock) { 8.seconds }, table, clock)
+        PeerReports(
+            self,
+            PeerTable(self, Incarnation(9)),
+            QuotaTable(clock) {
+                8.seconds
+            },
+            table,
+            crashGuardOf(clock),
+            clock,
+        )
     private val service = endpointOf("any").service
 
     init {
