Take a stream that ends inside an event for broken off

An answer with neither a length nor chunks ends with its connection, so a crash of the engine looked like its end: the caller got a stream that ended inside an event, or an empty one, as complete. Such a stream is resumed where the route allows it, and is evidence of a crash like any other answer that is cut off.

A reset was told from an end before, for streams and for whole bodies.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
@@ -1,5 +1,6 @@
 package org.nutmegspring.gateway.forwarding
 
+import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import org.nutmegspring.failure.Effect
 import org.nutmegspring.failure.Failure
@@ -20,6 +21,11 @@
     /** Whether the answer reports success. */
     val isSuccess: Boolean get() = status in SUCCESS
 
+    /** Whether only the close of the connection ends the body, so that a crash looks like its end. */
+    val endsWithConnection: Boolean
+        get() = !headers.contains(HttpHeaderNames.CONTENT_LENGTH) &&
+            !headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
+
     /** Whether the status means that the request did not run; not trusted without proof from the endpoint. */
     val isNotRunStatus: Boolean get() = status in NOT_RUN_STATUSES
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EventStream.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EventStream.kt
@@ -34,9 +34,6 @@
         return events
     }
 
-    /** Returns the bytes after the last whole event. */
-    fun rest(): ByteArray = pending
-
     private fun endOfEvent(bytes: ByteArray, from: Int): Int {
         var index = from
         while (index < bytes.size) {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -216,12 +216,16 @@
         part: AnswerPart?,
     ): AttemptEnd = when (part) {
         is AnswerPart.End -> {
-            if (events.hasPartialEvent) forwardRemainder(run, progress, head, events.rest())
-            if (!progress.isStarted) start(run, progress, head)
-            run.exchange.finish()
-            choice.recordSuccess(run, prepared)
-            crashGuard.recordCompletion(run.sharedParts)
-            AttemptEnd.Delivered(head.status)
+            if (isCutOff(head, events)) {
+                val failure = brokenAnswer(prepared, "the stream ended before the end of an event")
+                recordFailure(run, prepared, failure, isDisconnect = head.endsWithConnection, events = events.count)
+            } else {
+                if (!progress.isStarted) start(run, progress, head)
+                run.exchange.finish()
+                choice.recordSuccess(run, prepared)
+                crashGuard.recordCompletion(run.sharedParts)
+                AttemptEnd.Delivered(head.status)
+            }
         }
 
         is AnswerPart.Broken -> {
@@ -259,10 +263,9 @@
         run.exchange.send(event.bytes)
     }
 
-    private fun forwardRemainder(run: RequestRun, progress: Progress, head: AnswerHead, rest: ByteArray) {
-        if (!progress.isStarted) start(run, progress, head)
-        run.exchange.send(rest)
-    }
+    /** Whether the stream ended within an event, or ended with its connection before the first one. */
+    private fun isCutOff(head: AnswerHead, events: EventSplitter): Boolean =
+        events.hasPartialEvent || (head.endsWithConnection && events.count == 0)
 
     private fun start(run: RequestRun, progress: Progress, head: AnswerHead) {
         progress.isStarted = true
