Read the limit that an endpoint names, log its changes and count the requests sent meanwhile

The hypotheses on the limit could not be told apart: no log or metric said that an endpoint had named one, or how many requests an instance sent to it afterwards. The limit is not kept yet.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
@@ -39,6 +39,9 @@
     /** The circuit breaker that excludes the endpoint after failures. */
     val health = EndpointHealth(HEALTH_SETTINGS)
 
+    /** The limit that the endpoint names. */
+    val limit = EndpointLimit()
+
     private var isUnanswering = false
 
     /** Whether the endpoint is excluded at [now] because it does not answer this instance at all. */
@@ -94,7 +97,10 @@
 
     /** Updates the description. A restarted process has an empty prefix cache, so the cache estimate is cleared. */
     fun updateDescription(changed: ServingEndpoint) {
-        if (changed.bornAt != endpoint.bornAt || changed.address != endpoint.address) cacheEstimate.clear()
+        if (changed.bornAt != endpoint.bornAt || changed.address != endpoint.address) {
+            cacheEstimate.clear()
+            limit.reset()
+        }
         if (changed != endpoint) {
             isMisdirected = false
             avoidedUntil = null
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
@@ -14,6 +14,7 @@
 import org.nutmegspring.gateway.wire.AnswerFacts
 import org.nutmegspring.gateway.wire.Dispatch
 import org.nutmegspring.gateway.wire.ServingDialect
+import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration.Companion.milliseconds
 
 /** The head of an endpoint's answer to a request. */
@@ -64,17 +65,19 @@
 class EndpointSender(
     private val connections: EndpointConnections,
     private val dialect: ServingDialect,
+    private val limits: EndpointLimits,
 ) {
     /** Sends the caller's [call] according to [dispatch]. */
     suspend fun send(call: HttpCall, dispatch: Dispatch, canReuse: Boolean): AttemptStart {
         val address = dispatch.endpoint.address
+        val sentAt = limits.recordRequest(dispatch.endpoint.id)
         val headers = dialect.endpointHeaders(call.headers, dispatch)
         val id = dialect.readRequest(headers).id
         val sent = HttpCall(call.method, call.target, headers, call.body)
         val opened = connections.open(address, sent, canReuse) { dialect.readAnswer(0, it).requestId == id }
         return opened.fold(
             { AttemptStart.Failed(it) },
-            { answer -> readHead(answer, dispatch) },
+            { answer -> readHead(answer, dispatch, sentAt) },
         )
     }
 
@@ -83,12 +86,13 @@
         connections.exchange(endpoint.endpoint.address, dialect.freeHandle(handle), FREE_TIMEOUT)
     }
 
-    private suspend fun readHead(answer: OpenAnswer, dispatch: Dispatch): AttemptStart {
+    private suspend fun readHead(answer: OpenAnswer, dispatch: Dispatch, sentAt: MonotonicTime): AttemptStart {
         var isReturned = false
         try {
             return when (val part = answer.next()) {
                 is AnswerPart.Head -> {
                     val head = AnswerHead(part.status, part.headers, dialect.readAnswer(part.status, part.headers))
+                    limits.recordAnswer(dispatch.endpoint.id, head.facts, sentAt)
                     if (head.facts.hasNotRun || head.facts.isOtherEndpoint) {
                         drain(answer)
                         refused(dispatch, head)
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -19,6 +19,7 @@
 import org.nutmegspring.gateway.forwarding.AdmissionBounds
 import org.nutmegspring.gateway.forwarding.CrashGuard
 import org.nutmegspring.gateway.forwarding.CurrentConfiguration
+import org.nutmegspring.gateway.forwarding.EndpointLimits
 import org.nutmegspring.gateway.forwarding.EndpointSender
 import org.nutmegspring.gateway.forwarding.EngineChoice
 import org.nutmegspring.gateway.forwarding.EngineProbes
@@ -120,7 +121,7 @@
     }
     private val counts = WindowCounts(initial.bounds.usageWindow.inWholeMilliseconds)
     private val usage = UsageCounter(counts)
-    private val sender = EndpointSender(connections, platform.dialect)
+    private val sender = EndpointSender(connections, platform.dialect, EndpointLimits(endpoints, clock, log))
     private val retries = ServiceRetries(clock, ::createRetryBounds) { peers.registered.size + 1 }
     private val engineChoice =
         EngineChoice(endpoints, sender, platform.dialect, retries, initial.instance.dataCentre, clock)
@@ -374,6 +375,12 @@
         metrics.registerGauge("gateway_engine_crashes") { crashGuard.crashCount.toDouble() }
         metrics.registerGauge("gateway_quarantined_prompt_parts") { crashGuard.quarantinedCount.toDouble() }
         metrics.registerGauge("gateway_quarantine_refusals") { crashGuard.refusalCount.toDouble() }
+        metrics.registerGauge("gateway_limited_endpoints") {
+            endpoints.allStates().count { it.limit.requestsPerSecond != null }.toDouble()
+        }
+        metrics.registerGauge("gateway_limited_endpoint_requests") {
+            endpoints.allStates().sumOf { it.limit.sentRequests }.toDouble()
+        }
         metrics.registerGauge("gateway_duty_held") { if (duties.isHolding) 1.0 else 0.0 }
     }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
@@ -123,6 +123,21 @@
         )
     }
 
+    /** An endpoint named another limit than before, or none any more. */
+    class EndpointLimitChanged(
+        private val endpoint: EndpointId,
+        private val requestsPerSecond: Double?,
+        private val previous: Double?,
+    ) : DecisionEvent {
+        override val name: String get() = "endpoint limit changed"
+
+        override fun fields(): Map<String, Any?> = mapOf(
+            "endpoint" to endpoint.value,
+            "requestsPerSecond" to requestsPerSecond,
+            "previous" to previous,
+        )
+    }
+
     /** The endpoint table changed. */
     class EndpointChanged(
         private val endpoint: ServingEndpoint,
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/wire/RequestFacts.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/wire/RequestFacts.kt
@@ -72,12 +72,14 @@
  * @property isSigned whether the answer was made by the endpoint for this request
  * @property hasNotRun whether the endpoint states that it did not run the request
  * @property isOtherEndpoint whether another endpoint has the address now; the request did not run there
+ * @property requestsPerSecond the limit that the endpoint names for all instances together, null without one
  */
 data class AnswerFacts(
     val requestId: RequestId?,
     val isSigned: Boolean,
     val hasNotRun: Boolean,
     val isOtherEndpoint: Boolean,
+    val requestsPerSecond: Double? = null,
 )
 
 /** A prompt that an engine has prefilled and holds for another engine. */
