Keep the limit that an endpoint names, over all instances together

Endpoints in need got as many requests as before, although they named a limit in their answers: nothing read it.

Instances share the limit in turns on the wall clock, which begin one after the other at the rate of the limit and go round the instances. A turn admits one request and stays open for a second, so that the requests of all instances are at most the turns open in any span, also when a share is far below one request; no message is needed, and an instance that dies takes only its own turns with it. Each request to the endpoint uses a turn, prefills and repeats too. An endpoint without an open turn is not chosen; if none is left, the request is refused at once with the time until the next turn. Instances report the limits that they were named and those that were lifted, so that one without a turn hears of it.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointTable.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointTable.kt
@@ -4,6 +4,7 @@
 import org.nutmegspring.gateway.store.FeedEvent
 import org.nutmegspring.gateway.store.Listing
 import org.nutmegspring.identity.EndpointId
+import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.identity.ServiceId
 import org.nutmegspring.platform.ListedState
 import org.nutmegspring.time.MonotonicTime
@@ -31,6 +32,7 @@
 /** The endpoints that the platform's store lists, with what this instance knows of each. */
 class EndpointTable(
     private val cacheCapacity: (ServiceId) -> Long,
+    private val turns: InstanceTurns = InstanceTurns(InstanceId(""), { emptyList() }) { Duration.ZERO },
     private val onChange: (ServingEndpoint, EndpointChange) -> Unit,
 ) {
     private val states = LinkedHashMap<EndpointId, EndpointState>()
@@ -52,22 +54,33 @@
     fun allStates(): Collection<EndpointState> = states.values
 
     /**
-     * Returns the endpoints of [service] that can take new work at [now]. Endpoints whose breaker is open and avoided
-     * ones are included only if there are no others.
+     * Returns the endpoints of [service] that can take new work at [now], without those whose limit permits none.
+     * Endpoints whose breaker is open and avoided ones are included only if there are no others.
      */
     fun findUsable(
         service: ServiceId,
         now: MonotonicTime,
         excluded: Set<EndpointId> = emptySet(),
     ): List<EndpointState> {
-        val live = states.values.filter {
-            it.endpoint.service == service && it.endpoint.state == ListedState.LIVE && !it.isMisdirected &&
-                it.endpoint.id !in excluded && (it.lapsesAt?.let { until -> now < until } ?: true)
+        val live = findLive(service, now).filter {
+            it.endpoint.id !in excluded && it.limit.timeUntilTurn(turns) == Duration.ZERO
         }
         val permitted = live.filter { it.health.canSend(now) }.ifEmpty { live }
         return permitted.filter { !it.isAvoided(now) }.ifEmpty { permitted }
     }
 
+    /** Returns how long it takes until the limit of some endpoint of [service] permits a request, null without one. */
+    fun timeUntilTurn(service: ServiceId, now: MonotonicTime): Duration? =
+        findLive(service, now).minOfOrNull { it.limit.timeUntilTurn(turns) }?.takeIf { it > Duration.ZERO }
+
+    /** Counts a request that is about to be sent to [id]. Returns false if the limit of the endpoint permits none. */
+    fun tryAcquire(id: EndpointId): Boolean = states[id]?.limit?.tryAcquire(turns) ?: true
+
+    private fun findLive(service: ServiceId, now: MonotonicTime): List<EndpointState> = states.values.filter {
+        it.endpoint.service == service && it.endpoint.state == ListedState.LIVE && !it.isMisdirected &&
+            (it.lapsesAt?.let { until -> now < until } ?: true)
+    }
+
     /**
      * Replaces the table by [listing]. If the store was unavailable until [regainedAt], missing entries may have
      * lapsed, so these endpoints stay in use until they have had time to register again.
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
@@ -36,13 +36,16 @@
     }
 }
 
-/** Why an endpoint states that it did not run a request. */
+/** Why an endpoint did not run a request. */
 enum class EndpointRefusal {
     /** It does not accept such work now. */
     BUSY,
 
     /** Another endpoint has the address. */
     OTHER_ENDPOINT,
+
+    /** The limit that it named permits no request now, so none was sent. */
+    LIMITED,
 }
 
 /** The result of sending a request to one endpoint. */
@@ -70,7 +73,8 @@
     /** Sends the caller's [call] according to [dispatch]. */
     suspend fun send(call: HttpCall, dispatch: Dispatch, canReuse: Boolean): AttemptStart {
         val address = dispatch.endpoint.address
-        val sentAt = limits.recordRequest(dispatch.endpoint.id)
+        if (!limits.tryAcquire(dispatch.endpoint.id)) return refused(dispatch, EndpointRefusal.LIMITED)
+        val sentAt = limits.now()
         val headers = dialect.endpointHeaders(call.headers, dispatch)
         val id = dialect.readRequest(headers).id
         val sent = HttpCall(call.method, call.target, headers, call.body)
@@ -95,7 +99,8 @@
                     limits.recordAnswer(dispatch.endpoint.id, head.facts, sentAt)
                     if (head.facts.hasNotRun || head.facts.isOtherEndpoint) {
                         drain(answer)
-                        refused(dispatch, head)
+                        val isOther = head.facts.isOtherEndpoint
+                        refused(dispatch, if (isOther) EndpointRefusal.OTHER_ENDPOINT else EndpointRefusal.BUSY)
                     } else {
                         isReturned = true
                         AttemptStart.Answering(head, answer)
@@ -123,14 +128,13 @@
         }
     }
 
-    private fun refused(dispatch: Dispatch, head: AnswerHead): AttemptStart.Failed {
-        val refusal = if (head.facts.isOtherEndpoint) EndpointRefusal.OTHER_ENDPOINT else EndpointRefusal.BUSY
-        val reason = when (refusal) {
-            EndpointRefusal.BUSY -> "refused by the endpoint"
-            EndpointRefusal.OTHER_ENDPOINT -> "another endpoint has the address"
+    private fun refused(dispatch: Dispatch, refusal: EndpointRefusal): AttemptStart.Failed {
+        val (step, reason) = when (refusal) {
+            EndpointRefusal.BUSY -> Step.READ_ANSWER to "refused by the endpoint"
+            EndpointRefusal.OTHER_ENDPOINT -> Step.READ_ANSWER to "another endpoint has the address"
+            EndpointRefusal.LIMITED -> Step.CHOOSE_ENDPOINT to "the limit of the endpoint permits no request"
         }
-        val failure = Failure(Step.READ_ANSWER, peer(dispatch), Effect.NOT_RUN, "$reason (status ${head.status})")
-        return AttemptStart.Failed(failure, refusal)
+        return AttemptStart.Failed(Failure(step, peer(dispatch), Effect.NOT_RUN, reason), refusal)
     }
 
     private fun unknown(dispatch: Dispatch, reason: String) =
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
@@ -51,6 +51,9 @@
         return createPlacement(run).plan(request, findCandidates(run), dataCentre)
     }
 
+    /** Returns how long it takes until the limit of an engine permits [run], null if no limit stands in the way. */
+    fun timeUntilTurn(run: RequestRun): Duration? = endpoints.timeUntilTurn(run.admitted.service, clock.now())
+
     /** Requests the prefill if [plan] is a handover, and returns where to send the request next. */
     suspend fun prepare(run: RequestRun, plan: EnginePlan): Preparation {
         run.pendingHandover?.let { return prepareDecode(run, it) }
@@ -127,6 +130,7 @@
         when (refusal) {
             EndpointRefusal.OTHER_ENDPOINT -> engine.isMisdirected = true
             EndpointRefusal.BUSY -> engine.recordRefusal(clock.now())
+            EndpointRefusal.LIMITED -> Unit
             null -> run.pendingHandover = null
         }
         if (failure.effect == Effect.UNKNOWN || failure.step == Step.CONNECT) engine.recordUnanswered(clock.now())
@@ -182,7 +186,7 @@
             is AttemptStart.Failed -> {
                 if (started.refusal != null) {
                     attempt.recordRefusal()
-                    prefillEngine.recordRefusal(clock.now())
+                    if (started.refusal != EndpointRefusal.LIMITED) prefillEngine.recordRefusal(clock.now())
                 }
                 run.recordFailure(prefillEngine, started.failure.copy(effect = Effect.NOT_RUN))
                 null
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/ServiceForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/ServiceForwarder.kt
@@ -33,7 +33,8 @@
 
     /** Serves [run]. */
     suspend fun serve(run: RequestRun): RunEnd {
-        var last: RunEnd = RunEnd.NotRun("no endpoint of the service is known", RETRY_PAUSE)
+        val retryAfter = endpoints.timeUntilTurn(run.admitted.service, clock.now()) ?: RETRY_PAUSE
+        var last: RunEnd = RunEnd.NotRun("no endpoint can take the request", retryAfter)
         while (true) {
             val endpoint = choose(run) ?: return last
             val isFurther = run.trace.endpoints.isNotEmpty()
@@ -117,8 +118,24 @@
             }
 
             is Outcome.Failed -> {
-                if (outcome.refusal == EndpointRefusal.OTHER_ENDPOINT) endpoint.isMisdirected = true
-                if (outcome.refusal == null) endpoint.recordUnanswered(now) else endpoint.health.recordFailure(now)
+                when (outcome.refusal) {
+                    null -> {
+                        endpoint.recordUnanswered(now)
+                    }
+
+                    EndpointRefusal.BUSY -> {
+                        endpoint.health.recordFailure(now)
+                    }
+
+                    EndpointRefusal.OTHER_ENDPOINT -> {
+                        endpoint.isMisdirected = true
+                        endpoint.health.recordFailure(now)
+                    }
+
+                    EndpointRefusal.LIMITED -> {
+                        Unit
+                    }
+                }
             }
         }
     }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -43,7 +43,7 @@
     /** Serves [run]. */
     suspend fun serve(run: RequestRun): RunEnd {
         val progress = Progress(run.admitted.facts.lastEvent)
-        var last: RunEnd = RunEnd.NotRun("no engine can take the request", RETRY_PAUSE)
+        var last: RunEnd = RunEnd.NotRun("no engine can take the request", choice.timeUntilTurn(run) ?: RETRY_PAUSE)
         while (true) {
             when (val next = nextAttempt(run, progress, last)) {
                 is Next.Ended -> {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -15,6 +15,7 @@
 import org.nutmegspring.gateway.endpoints.EndpointChange
 import org.nutmegspring.gateway.endpoints.EndpointListCurrency
 import org.nutmegspring.gateway.endpoints.EndpointTable
+import org.nutmegspring.gateway.endpoints.InstanceTurns
 import org.nutmegspring.gateway.forwarding.Admission
 import org.nutmegspring.gateway.forwarding.AdmissionBounds
 import org.nutmegspring.gateway.forwarding.CrashGuard
@@ -112,7 +113,9 @@
     private val currentConfiguration = CurrentConfiguration(log)
     private val quotas = QuotaTable(clock) { settings.bounds.quotaWindowSeconds.seconds }
     private val peers = PeerTable(self, incarnation)
-    private val endpoints = EndpointTable(::findCacheCapacity) { endpoint, change ->
+    private val turns =
+        InstanceTurns(self, { peers.registered.keys }) { System.currentTimeMillis().milliseconds }
+    private val endpoints = EndpointTable(::findCacheCapacity, turns) { endpoint, change ->
         if (change == EndpointChange.APPEARED || change == EndpointChange.GONE) connections.closeIdle(endpoint.address)
         log.record(DecisionEvent.EndpointChanged(endpoint, change))
     }
@@ -121,7 +124,8 @@
     }
     private val counts = WindowCounts(initial.bounds.usageWindow.inWholeMilliseconds)
     private val usage = UsageCounter(counts)
-    private val sender = EndpointSender(connections, platform.dialect, EndpointLimits(endpoints, clock, log))
+    private val limits = EndpointLimits(endpoints, clock, log)
+    private val sender = EndpointSender(connections, platform.dialect, limits)
     private val retries = ServiceRetries(clock, ::createRetryBounds) { peers.registered.size + 1 }
     private val engineChoice =
         EngineChoice(endpoints, sender, platform.dialect, retries, initial.instance.dataCentre, clock)
@@ -143,7 +147,7 @@
         clock,
         log,
     )
-    private val reports = PeerReports(self, peers, quotas, endpoints, crashGuard, clock)
+    private val reports = PeerReports(self, peers, quotas, endpoints, crashGuard, limits, clock)
 
     private val pacing = ReportPacing(initial.instance.linkMegabitsPerSecond)
     private val composer = ReportComposer(
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
@@ -2,7 +2,9 @@
 
 import org.nutmegspring.gateway.endpoints.EndpointTable
 import org.nutmegspring.gateway.forwarding.CrashGuard
+import org.nutmegspring.gateway.forwarding.EndpointLimits
 import org.nutmegspring.gateway.forwarding.QuotaTable
+import org.nutmegspring.gateway.peers.EndpointLimitReport
 import org.nutmegspring.gateway.peers.EndpointLoadReport
 import org.nutmegspring.gateway.peers.PeerReport
 import org.nutmegspring.gateway.peers.PeerTable
@@ -21,6 +23,7 @@
     private val quotas: QuotaTable,
     private val endpoints: EndpointTable,
     private val crashGuard: CrashGuard,
+    private val limits: EndpointLimits,
     private val clock: MonotonicClock,
 ) {
     private var nextUnreachable = 0
@@ -44,6 +47,7 @@
         report.changingEngines.forEach { endpoints.findState(it)?.avoidUntil(avoidanceEnd) }
         report.unreachableEndpoints.forEach { endpoints.findState(it)?.recordUnreachableFromPeer(now, avoidanceEnd) }
         report.promptParts.forEach(crashGuard::applyEntry)
+        report.limits.forEach(limits::applyReport)
         report.prefills.forEach { prefill ->
             val chain = prefill.chainHashes.zip(prefill.tokens, ::PromptPart)
             endpoints.findState(prefill.engine)?.recordPrefill(chain)
@@ -65,6 +69,9 @@
     /** Returns what is known of [count] prompt parts under which engines crashed, in turn when there are more. */
     fun nextPromptParts(count: Int): List<PromptPartEntry> = crashGuard.nextEntries(count)
 
+    /** Returns [count] limits that endpoints named to this instance, in turn when there are more. */
+    fun nextLimits(count: Int): List<EndpointLimitReport> = limits.nextReports(count)
+
     /** Returns [count] of the endpoints that do not answer this instance, in turn when there are more. */
     fun nextUnreachableEndpoints(count: Int): List<EndpointId> {
         val unreachable = unreachableEndpoints()
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/ReportComposer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/ReportComposer.kt
@@ -57,6 +57,7 @@
             charges = quotas.nextCharges(entries.charges),
             loads = reports.nextLoads(entries.loads),
             prefills = engineChoice.drainPrefillReports(entries.prefills),
+            limits = reports.nextLimits(entries.limits),
             promptParts = reports.nextPromptParts(entries.promptParts),
         )
         val usageReaders = if (isUsageDue(now)) peers.dutyHolders(now) + duties.participants() else emptySet()
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
@@ -58,6 +58,15 @@
     @CborLabel(6) val requestAge: Long? = null,
 )
 
+/** What an answer of [endpoint] told the sender of its limit, null for none, [ageMilliseconds] ago. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+data class EndpointLimitReport(
+    @CborLabel(1) val endpoint: EndpointId,
+    @CborLabel(2) val requestsPerSecond: Double?,
+    @CborLabel(3) val ageMilliseconds: Long,
+)
+
 /**
  * The report that an instance sends to the others several times in a few seconds. What a lost report told is told again
  * by a later one.
@@ -72,6 +81,7 @@
  * @property charges units charged since the process started, of some organisations; those of the others are unchanged
  * @property windows counts of requests; only instances that take part in the duties receive them
  * @property promptParts prompt parts under which engines crashed, told again until they expire
+ * @property limits the limits that endpoints named, and those that they have lifted lately
  * @property endedProcesses counts of processes that recently stopped reporting, for instances that started afterwards
  */
 @OptIn(ExperimentalSerializationApi::class)
@@ -94,6 +104,7 @@
     @CborLabel(15) val windows: List<WindowReport> = emptyList(),
     @CborLabel(16) val endedProcesses: List<EndedProcessReport> = emptyList(),
     @CborLabel(17) val promptParts: List<PromptPartEntry> = emptyList(),
+    @CborLabel(18) val limits: List<EndpointLimitReport> = emptyList(),
 ) {
     /**
      * Returns how long the report is valid: at least [minimum], and [intervals] times the interval between reports. By
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/ReportPacing.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/ReportPacing.kt
@@ -26,6 +26,7 @@
             loads = (total * LOADS_SHARE).toInt(),
             prefills = (total * PREFILLS_SHARE).toInt(),
             endpoints = (total * ENDPOINTS_SHARE).toInt(),
+            limits = maxOf(MINIMUM_LIMITS, (total * LIMITS_SHARE).toInt()),
             promptParts = maxOf(MINIMUM_PROMPT_PARTS, (total * PROMPT_PARTS_SHARE).toInt()),
         )
     }
@@ -50,6 +51,8 @@
         /** An entry takes about as much as four of the others. */
         const val PROMPT_PARTS_SHARE = 0.08
         const val MINIMUM_PROMPT_PARTS = 2
+        const val LIMITS_SHARE = 0.08
+        const val MINIMUM_LIMITS = 2
 
         /** Quotas are exact only while the charges of all organisations fit. */
         const val MAXIMUM_CHARGES = 48
@@ -61,6 +64,7 @@
  *
  * @property endpoints the endpoints that do not answer the sender
  * @property promptParts the prompt parts under which engines crashed
+ * @property limits the limits that endpoints named
  */
 data class ReportEntries(
     val charges: Int,
@@ -68,4 +72,5 @@
     val prefills: Int,
     val endpoints: Int,
     val promptParts: Int,
+    val limits: Int,
 )
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/instance/PeerReportsSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/instance/PeerReportsSpec.kt
@@ -6,6 +6,7 @@
 import org.nutmegspring.gateway.endpointOf
 import org.nutmegspring.gateway.endpoints.EndpointState
 import org.nutmegspring.gateway.endpoints.EndpointTable
+import org.nutmegspring.gateway.forwarding.EndpointLimits
 import org.nutmegspring.gateway.forwarding.QuotaTable
 import org.nutmegspring.gateway.peers.PeerReport
 import org.nutmegspring.gateway.peers.PeerTable
@@ -34,6 +35,7 @@
             },
             table,
             crashGuardOf(clock),
+            EndpointLimits(table, clock) { },
             clock,
         )
     private val service = endpointOf("any").service
