--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/instance/PeerReportsSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/instance/PeerReportsSpec.kt
@@ -8,13 +8,17 @@
 import org.nutmegspring.gateway.endpoints.EndpointTable
 import org.nutmegspring.gateway.forwarding.EndpointLimits
 import org.nutmegspring.gateway.forwarding.QuotaTable
+import org.nutmegspring.gateway.peers.EndpointLimitReport
 import org.nutmegspring.gateway.peers.PeerReport
+import org.nutmegspring.gateway.peers.PeerReportCodec
 import org.nutmegspring.gateway.peers.PeerTable
+import org.nutmegspring.gateway.peers.PromptPartEntry
 import org.nutmegspring.gateway.store.FeedEntry
 import org.nutmegspring.gateway.store.Listing
 import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.identity.Incarnation
 import org.nutmegspring.identity.InstanceId
+import org.nutmegspring.identity.PromptPartId
 import org.nutmegspring.membership.InstancePhase
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -26,6 +30,7 @@
     private val clock = TestClock()
     private val table = EndpointTable({ 1_000 }) { _, _ -> }
     private val self = InstanceId("self")
+    private val crashGuard = crashGuardOf(clock)
     private val reports =
         PeerReports(
             self,
@@ -34,7 +39,7 @@
                 8.seconds
             },
             table,
-            crashGuardOf(clock),
+            crashGuard,
             EndpointLimits(table, clock) { },
             clock,
         )
@@ -132,4 +137,30 @@
             assertEquals(emptyList(), reports.unreachableEndpoints())
         }
     }
+
+    @Nested
+    inner class `when another instance has quarantined a prompt part` {
+        private val part = PromptPartId(-7)
+
+        @Test
+        fun `requests with the part are refused here as well`() {
+            val entry = PromptPartEntry(part, depth = 1, crashAges = mapOf(-5L to 900L), quarantineAge = 100)
+            val bytes = PeerReportCodec.encode(report().copy(promptParts = listOf(entry)))
+            reports.applyReport(PeerReportCodec.decode(bytes))
+            assertEquals(part, crashGuard.refuse(listOf(PromptPartId(1), part)))
+            assertEquals(listOf(part), reports.nextPromptParts(2).map { it.part })
+        }
+    }
+
+    @Nested
+    inner class `when another instance was named a limit` {
+        @Test
+        fun `the endpoint is chosen in turns here as well`() {
+            val named = EndpointLimitReport(EndpointId("e1"), requestsPerSecond = 0.5, ageMilliseconds = 0)
+            val bytes = PeerReportCodec.encode(report().copy(limits = listOf(named)))
+            reports.applyReport(PeerReportCodec.decode(bytes))
+            assertEquals(0.5, endpoint("e1").limit.requestsPerSecond)
+            assertEquals(emptyList(), reports.nextLimits(2))
+        }
+    }
 }
