Log a quarantine that another instance reported; split the completions of parts from the evidence

An instance that adopted a quarantine refused requests without a line that told why. The status of an endpoint's refusal is in the failure again.

--- a/decisions/src/main/kotlin/org/nutmegspring/limits/SharedRateLimit.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/limits/SharedRateLimit.kt
@@ -8,16 +8,15 @@
  * Shares a rate that an endpoint names for all instances together, without messages between them.
  *
  * Turns begin one after the other at the rate of the limit, on the wall clock, and go round the instances in the order
- * of their ids. A turn admits one request and stays open for about a second's worth of turns. In any span, the requests
- * of all instances thus are at most the turns that were open during it, also when each instance's share is far below
- * one request.
+ * of their ids. A turn admits one request and stays open until the next turn and [OPEN_TIME] have passed. In any span,
+ * the requests of all instances thus are at most the turns that were open during it, also when each instance's share is
+ * far below one request.
  */
 class SharedRateLimit {
     private var lastTurnUsed: Duration? = null
 
-    /** Returns the earliest open turn at [now], or null if the next one is yet to come. */
-    fun isTurnOpen(share: RateShare, now: Duration): Boolean =
-        share.requestsPerSecond > 0 && nextTurn(share, now) <= now
+    /** Whether a turn is open at [now]. */
+    fun isTurnOpen(share: RateShare, now: Duration): Boolean = timeUntilTurn(share, now) == Duration.ZERO
 
     /** Uses a turn that is open at [now]. Returns false if there is none. */
     fun tryAcquire(share: RateShare, now: Duration): Boolean {
@@ -27,14 +26,10 @@
     }
 
     /** Returns how long after [now] the next turn begins, zero if one is open. */
-    fun timeUntilTurn(share: RateShare, now: Duration): Duration =
-        if (share.requestsPerSecond <=
-            0
-        ) {
-            Duration.INFINITE
-        } else {
-            (nextTurn(share, now) - now).coerceAtLeast(Duration.ZERO)
-        }
+    fun timeUntilTurn(share: RateShare, now: Duration): Duration {
+        if (share.requestsPerSecond <= 0) return Duration.INFINITE
+        return (nextTurn(share, now) - now).coerceAtLeast(Duration.ZERO)
+    }
 
     /** Returns the beginning of the first turn that has not been used and has not ended at [now]. */
     private fun nextTurn(share: RateShare, now: Duration): Duration {
--- a/decisions/src/main/kotlin/org/nutmegspring/quarantine/PartEvidence.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/quarantine/PartEvidence.kt
@@ -29,15 +29,21 @@
 )
 
 /** The evidence against one prompt part. */
-internal class PartEvidence(createdAt: MonotonicTime) {
+internal class PartEvidence(private val createdAt: MonotonicTime) {
     private val crashTimes = LinkedHashMap<EngineLifetime, MonotonicTime>()
     private val ownCrashes = HashSet<EngineLifetime>()
-    private var firstCrashAt: MonotonicTime? = null
+    private var earliestCrashAt: MonotonicTime? = null
     private var quarantinedAt: MonotonicTime? = null
 
     /** The position of the part in prompts, -1 if only other instances have seen it. */
     var depth = -1
 
+    /** When an engine first crashed under the part, or the beginning of this evidence if no crash is known. */
+    val firstCrashAt: MonotonicTime get() = earliestCrashAt ?: createdAt
+
+    /** Whether the quarantine was returned as a change. */
+    var isAnnounced = false
+
     /** Whether more than one engine crashed under the part since the last completion. */
     var isSuspected = false
 
@@ -65,14 +71,14 @@
 
     /** The time in which the crashes of a quarantined part happened, null if the part is not quarantined. */
     val crashPeriod: ClosedRange<MonotonicTime>?
-        get() = quarantinedAt?.let { until -> firstCrashAt?.let { minOf(it, until)..until } }
+        get() = quarantinedAt?.let { until -> minOf(firstCrashAt, until)..until }
 
     /**
      * Records that [engine] crashed, [isOwn] if a request of this instance broke off with it. An engine that was
      * reported before keeps its earliest time.
      */
     fun addCrash(engine: EngineLifetime, at: MonotonicTime, isOwn: Boolean) {
-        firstCrashAt = firstCrashAt?.let { minOf(it, at) } ?: at
+        earliestCrashAt = earliestCrashAt?.let { minOf(it, at) } ?: at
         crashTimes.merge(engine, at) { known, reported -> minOf(known, reported) }
         if (isOwn) ownCrashes += engine
         if (crashTimes.size > MAXIMUM_CRASHES) {
@@ -126,20 +132,15 @@
     fun endQuarantine(): MonotonicTime {
         val began = checkNotNull(quarantinedAt) { "the part is quarantined" }
         quarantinedAt = null
+        isAnnounced = false
         return began
     }
 
     /** Whether the evidence matters no more at [now]. */
     fun isExpired(now: MonotonicTime): Boolean {
         if (isQuarantined) return false
-        val retention = if (countCrashes(ExplainedCrashes(emptySet(), emptyList())) ==
-            0
-        ) {
-            CLEARED_RETENTION
-        } else {
-            EVIDENCE_RETENTION
-        }
-        return now - lastCrashAt > retention
+        val isCleared = countCrashes(ExplainedCrashes.NONE) == 0
+        return now - lastCrashAt > if (isCleared) CLEARED_RETENTION else EVIDENCE_RETENTION
     }
 
     /** Returns the report of [part], whose last completion at this instance was at [ownCompletion]. */
@@ -180,24 +181,9 @@
     /** Whether the crash of [engine] at [at] is explained. */
     fun covers(engine: EngineLifetime, at: MonotonicTime, isOwn: Boolean): Boolean =
         engine in engines || (!isOwn && periods.any { at in it })
-}
-
-/** When answers to prompts with a part were last completed at this instance, for the [maximumSize] newest parts. */
-internal class CompletionTimes(private val maximumSize: Int) {
-    private val times = object : LinkedHashMap<PromptPartId, MonotonicTime>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
-        override fun removeEldestEntry(eldest: Map.Entry<PromptPartId, MonotonicTime>?): Boolean = size > maximumSize
-    }
-
-    /** Records a completion. */
-    fun record(part: PromptPartId, at: MonotonicTime) {
-        times[part] = at
-    }
 
-    /** Returns when an answer to a prompt with [part] was last completed, or null if that is not known. */
-    fun find(part: PromptPartId): MonotonicTime? = times[part]
-
-    private companion object {
-        const val INITIAL_CAPACITY = 64
-        const val LOAD_FACTOR = 0.75f
+    companion object {
+        /** No crash is explained. */
+        val NONE = ExplainedCrashes(emptySet(), emptyList())
     }
 }
--- a/decisions/src/main/kotlin/org/nutmegspring/quarantine/PromptQuarantine.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/quarantine/PromptQuarantine.kt
@@ -76,9 +76,12 @@
         }
         changes += findSuspected(now)
         while (true) {
-            val (part, entry) = findCulprit(now) ?: break
+            val (_, entry) = findCulprit(now) ?: break
             entry.quarantine(now)
-            changes += QuarantineChange.Quarantined(part, entry.crashes.size, now - entry.crashes.values.min())
+        }
+        for ((part, entry) in evidence.filterValues { it.isQuarantined && !it.isAnnounced }) {
+            entry.isAnnounced = true
+            changes += QuarantineChange.Quarantined(part, entry.crashes.size, now - entry.firstCrashAt)
         }
         evidence.values.removeIf { it.isExpired(now) }
         return changes
@@ -214,7 +217,10 @@
         val evidenceAge: Duration,
     ) : QuarantineChange
 
-    /** Requests with [part] are refused from now on, after [crashes] crashes, the first of them [evidenceAge] ago. */
+    /**
+     * Requests with [part] are refused from now on, here or because another instance reported it. [crashes] are known
+     * here, the first of them [evidenceAge] ago.
+     */
     data class Quarantined(
         override val part: PromptPartId,
         val crashes: Int,
--- a/decisions/src/test/kotlin/org/nutmegspring/quarantine/PromptQuarantineSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/quarantine/PromptQuarantineSpec.kt
@@ -109,6 +109,7 @@
             val other = PromptQuarantine(MonotonicTime.ZERO) { SETTLE_TIME }
             quarantine.nextReports(4, now).forEach { other.applyReport(it, now) }
             assertEquals(setOf(crashing), other.quarantinedParts)
+            assertEquals(listOf(crashing), other.update(now).map { it.part })
             quarantine.recordCompletion(listOf(crashing), now)
             update()
             quarantine.nextReports(4, now).forEach { other.applyReport(it, now) }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
@@ -73,7 +73,7 @@
     /** Sends the caller's [call] according to [dispatch]. */
     suspend fun send(call: HttpCall, dispatch: Dispatch, canReuse: Boolean): AttemptStart {
         val address = dispatch.endpoint.address
-        if (!limits.tryAcquire(dispatch.endpoint.id)) return refused(dispatch, EndpointRefusal.LIMITED)
+        if (!limits.tryAcquire(dispatch.endpoint.id)) return limited(dispatch)
         val sentAt = limits.now()
         val headers = dialect.endpointHeaders(call.headers, dispatch)
         val id = dialect.readRequest(headers).id
@@ -99,8 +99,7 @@
                     limits.recordAnswer(dispatch.endpoint.id, head.facts, sentAt)
                     if (head.facts.hasNotRun || head.facts.isOtherEndpoint) {
                         drain(answer)
-                        val isOther = head.facts.isOtherEndpoint
-                        refused(dispatch, if (isOther) EndpointRefusal.OTHER_ENDPOINT else EndpointRefusal.BUSY)
+                        refused(dispatch, head)
                     } else {
                         isReturned = true
                         AttemptStart.Answering(head, answer)
@@ -128,13 +127,17 @@
         }
     }
 
-    private fun refused(dispatch: Dispatch, refusal: EndpointRefusal): AttemptStart.Failed {
-        val (step, reason) = when (refusal) {
-            EndpointRefusal.BUSY -> Step.READ_ANSWER to "refused by the endpoint"
-            EndpointRefusal.OTHER_ENDPOINT -> Step.READ_ANSWER to "another endpoint has the address"
-            EndpointRefusal.LIMITED -> Step.CHOOSE_ENDPOINT to "the limit of the endpoint permits no request"
-        }
-        return AttemptStart.Failed(Failure(step, peer(dispatch), Effect.NOT_RUN, reason), refusal)
+    private fun limited(dispatch: Dispatch): AttemptStart.Failed {
+        val reason = "the limit of the endpoint permits no request"
+        val failure = Failure(Step.CHOOSE_ENDPOINT, peer(dispatch), Effect.NOT_RUN, reason)
+        return AttemptStart.Failed(failure, EndpointRefusal.LIMITED)
+    }
+
+    private fun refused(dispatch: Dispatch, head: AnswerHead): AttemptStart.Failed {
+        val isOther = head.facts.isOtherEndpoint
+        val reason = if (isOther) "another endpoint has the address" else "refused by the endpoint"
+        val failure = Failure(Step.READ_ANSWER, peer(dispatch), Effect.NOT_RUN, "$reason (status ${head.status})")
+        return AttemptStart.Failed(failure, if (isOther) EndpointRefusal.OTHER_ENDPOINT else EndpointRefusal.BUSY)
     }
 
     private fun unknown(dispatch: Dispatch, reason: String) =
