Leave nothing running when an instance can't bind its addresses

Cause: startGateway threw and left the event loop, its threads and the servers that were bound already. In the specs, a port that was free when it was chosen can be taken by an outgoing connection before the instance listens there, the more often the more instances and connections a spec has. No assertion changes.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayStart.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayStart.kt
@@ -9,6 +9,19 @@
 /** Creates the platform's ports from connections, settings and a callback for unreadable objects. */
 typealias PlatformFactory = (EndpointConnections, PlatformSettings, (String) -> Unit) -> PlatformPorts
 
-/** Starts an instance with [settings] on the platform that [platformFactory] creates. */
-fun startGateway(settings: GatewaySettings, log: DecisionLog, platformFactory: PlatformFactory): GatewayInstance =
-    GatewayInstance(settings, platformFactory, log).also { it.start() }
+/**
+ * Starts an instance with [settings] on the platform that [platformFactory] creates.
+ *
+ * @throws java.net.BindException when an address is in use; nothing of the instance keeps running then
+ */
+fun startGateway(settings: GatewaySettings, log: DecisionLog, platformFactory: PlatformFactory): GatewayInstance {
+    val instance = GatewayInstance(settings, platformFactory, log)
+    var isStarted = false
+    try {
+        instance.start()
+        isStarted = true
+        return instance
+    } finally {
+        if (!isStarted) instance.close()
+    }
+}
