--- a/decisions/src/test/kotlin/org/nutmegspring/limits/SharedRateLimitSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/limits/SharedRateLimitSpec.kt
@@ -18,9 +18,10 @@
         seed: Int,
         private val arrivalsPerSecond: Double = 100.0,
         private val changeMembers: Boolean = false,
+        private val restarts: Boolean = false,
     ) {
         private val random = Random(seed)
-        private val limits = List(instances) { SharedRateLimit() }
+        private val limits = MutableList(instances) { SharedRateLimit() }
         private val clockErrors = List(instances) { CLOCK_ERROR * (2 * random.nextDouble() - 1) }
 
         fun play(duration: Duration): List<Duration> {
@@ -28,6 +29,9 @@
             var now = START
             while (now < START + duration) {
                 val removed = if (changeMembers && (now - START).inWholeSeconds / 5 % 2 == 1L) 1 else 0
+                if (restarts && random.nextDouble() < STEP / RESTART_INTERVAL) {
+                    limits[random.nextInt(instances)] = SharedRateLimit()
+                }
                 for (rank in 0 until instances - removed) {
                     if (random.nextDouble() > arrivalsPerSecond * STEP.inWholeMilliseconds / 1000) continue
                     val share = RateShare(limit, rank, instances - removed)
@@ -47,10 +51,20 @@
         } ?: 0
     }
 
-    private fun findBroken(instances: Int, changeMembers: Boolean = false): List<String> =
+    private fun findBroken(
+        instances: Int,
+        changeMembers: Boolean = false,
+        restarts: Boolean = false,
+    ): List<String> =
         listOf(0.4, 1.0, 2.8, 3.2, 5.5, 20.0).flatMap { limit ->
             (1..SEEDS).mapNotNull { seed ->
-                val sent = Fleet(instances, limit, seed, changeMembers = changeMembers).play(PLAYED)
+                val sent = Fleet(
+                    instances,
+                    limit,
+                    seed,
+                    changeMembers = changeMembers,
+                    restarts = restarts,
+                ).play(PLAYED)
                 val greatest = greatestCount(sent)
                 val allowed = (ALLOWED_RATIO * limit * WINDOW.inWholeSeconds + ALLOWED_EXTRA).toInt()
                 "limit $limit, seed $seed: $greatest where $allowed are allowed".takeIf { greatest > allowed }
@@ -74,6 +88,11 @@
             assertEquals(emptyList(), findBroken(9, changeMembers = true) + findBroken(64, changeMembers = true))
         }
 
+        @Test
+        fun `they stay below it while instances restart and forget the turns that they used`() {
+            assertEquals(emptyList(), findBroken(9, restarts = true) + findBroken(64, restarts = true))
+        }
+
         @Test
         fun `most of the limit is used while all instances have work for it`() {
             for (instances in listOf(1, 9, 64)) {
@@ -105,6 +124,7 @@
         val STEP = 5.milliseconds
         val PLAYED = 60.seconds
         const val SEEDS = 10
+        val RESTART_INTERVAL = 2.seconds
         val CLOCK_ERROR = 50.milliseconds
         const val USED_SHARE = 0.8
 
