--- a/command-line/src/test/kotlin/org/nutmegspring/commandline/explain/RequestStorySpec.kt
+++ b/command-line/src/test/kotlin/org/nutmegspring/commandline/explain/RequestStorySpec.kt
@@ -52,6 +52,24 @@
             assertEquals(mapOf("e1" to 1), story.failuresNearby)
     }
 
+    @Nested
+    inner class `given a request that was refused for a prompt part` {
+        private val reason = "engines crash under the prompt part 5c1e07a2"
+
+        @Test
+        fun `the quarantine of this part and the limits of endpoints are told`() {
+            val refused = listOf(
+                line(100, "a", "prompt part changed", "promptPart" to "5c1e07a2", "change" to "suspected"),
+                line(200, "a", "prompt part changed", "promptPart" to "5c1e07a2", "change" to "quarantined"),
+                line(200, "a", "prompt part changed", "promptPart" to "91bd3f06", "change" to "suspected"),
+                line(300, "a", "endpoint limit changed", "endpoint" to "e3", "requestsPerSecond" to "3.2"),
+                line(400, "a", "request ended", "request" to "r", "outcome" to "refused", "reason" to reason),
+            )
+            val beliefs = assertNotNull(storyOf("r", refused)).beliefs
+            assertEquals(listOf("quarantined", "3.2"), beliefs.map { it.fields.values.last() })
+        }
+    }
+
     @Nested
     inner class `given no line of the request` {
         @Test
