--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
@@ -1,6 +1,7 @@
 package org.nutmegspring.gateway.forwarding
 
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
 import org.nutmegspring.failure.Effect
 import org.nutmegspring.failure.Failure
@@ -11,6 +12,7 @@
 import org.nutmegspring.gateway.http.EndpointConnections
 import org.nutmegspring.gateway.http.HttpCall
 import org.nutmegspring.gateway.http.OpenAnswer
+import org.nutmegspring.gateway.observe.BodyFraming
 import org.nutmegspring.gateway.wire.AnswerFacts
 import org.nutmegspring.gateway.wire.Dispatch
 import org.nutmegspring.gateway.wire.ServingDialect
@@ -22,10 +24,19 @@
     /** Whether the answer reports success. */
     val isSuccess: Boolean get() = status in SUCCESS
 
-    /** Whether only the close of the connection ends the body, so that a crash looks like its end. */
-    val endsWithConnection: Boolean
-        get() = !headers.contains(HttpHeaderNames.CONTENT_LENGTH) &&
-            !headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
+    /** What marks the end of the body. */
+    val framing: BodyFraming
+        get() = when {
+            headers.containsValue(
+                HttpHeaderNames.TRANSFER_ENCODING,
+                HttpHeaderValues.CHUNKED,
+                true,
+            ) -> BodyFraming.CHUNKED
+
+            headers.contains(HttpHeaderNames.CONTENT_LENGTH) -> BodyFraming.LENGTH
+
+            else -> BodyFraming.CONNECTION
+        }
 
     /** Whether the status means that the request did not run; not trusted without proof from the endpoint. */
     val isNotRunStatus: Boolean get() = status in NOT_RUN_STATUSES
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/ServiceForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/ServiceForwarder.kt
@@ -149,6 +149,7 @@
     }
 
     private fun deliver(run: RequestRun, answer: WholeAnswer): RunEnd {
+        run.trace.framing = answer.head.framing
         val isNotRunStatus = answer.head.isNotRunStatus
         val isUnsignedSuccess = answer.head.isSuccess && !answer.head.facts.isSigned
         if (isNotRunStatus || isUnsignedSuccess) {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -10,6 +10,7 @@
 import org.nutmegspring.gateway.endpoints.EndpointState
 import org.nutmegspring.gateway.http.AnswerPart
 import org.nutmegspring.gateway.http.withoutHopByHopHeaders
+import org.nutmegspring.gateway.observe.BodyFraming
 import org.nutmegspring.gateway.observe.Interruption
 import org.nutmegspring.placement.EnginePlan
 import kotlin.time.Duration
@@ -193,6 +194,7 @@
         started: AttemptStart.Answering,
         attempt: EngineAttempt,
     ): AttemptEnd {
+        run.trace.framing = started.head.framing
         if (!started.head.isSuccess || !started.head.facts.isSigned) return sendError(run, prepared, progress, started)
         val events = EventSplitter()
         while (true) {
@@ -218,7 +220,13 @@
         is AnswerPart.End -> {
             if (isCutOff(head, events)) {
                 val failure = brokenAnswer(prepared, "the stream ended before the end of an event")
-                recordFailure(run, prepared, failure, isDisconnect = head.endsWithConnection, events = events.count)
+                recordFailure(
+                    run,
+                    prepared,
+                    failure,
+                    isDisconnect = head.framing == BodyFraming.CONNECTION,
+                    events = events.count,
+                )
             } else {
                 if (!progress.isStarted) start(run, progress, head)
                 run.exchange.finish()
@@ -265,7 +273,7 @@
 
     /** Whether the stream ended within an event, or ended with its connection before the first one. */
     private fun isCutOff(head: AnswerHead, events: EventSplitter): Boolean =
-        events.hasPartialEvent || (head.endsWithConnection && events.count == 0)
+        events.hasPartialEvent || (head.framing == BodyFraming.CONNECTION && events.count == 0)
 
     private fun start(run: RequestRun, progress: Progress, head: AnswerHead) {
         progress.isStarted = true
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
@@ -72,6 +72,7 @@
             "prefilledMilliseconds" to trace.prefilledMilliseconds,
             "firstOutputMilliseconds" to trace.firstOutputMilliseconds,
             "elapsedMilliseconds" to trace.elapsedMilliseconds,
+            "framing" to trace.framing?.name?.lowercase(),
             "configurationVersion" to basis.configurationVersion,
             "evidenceAgeMilliseconds" to basis.evidenceAge?.inWholeMilliseconds,
         )
@@ -288,6 +289,18 @@
     val longestLoopDelay: Duration,
 )
 
+/** What marks the end of the body of an endpoint's answer. */
+enum class BodyFraming {
+    /** The length in its head. */
+    LENGTH,
+
+    /** The last chunk. */
+    CHUNKED,
+
+    /** The end of the connection only, so that a crash of the endpoint can look like the end of the body. */
+    CONNECTION,
+}
+
 /** The course of a request: the endpoints tried, the plan and the times. */
 class RequestTrace {
     /** The endpoints to which the request was sent, in order. */
@@ -305,6 +318,9 @@
     /** Time to the first output, in milliseconds. */
     var firstOutputMilliseconds: Long? = null
 
+    /** What marks the end of the last answer of an endpoint, or null before one has answered. */
+    var framing: BodyFraming? = null
+
     /** Time to the end of the request, in milliseconds. */
     var elapsedMilliseconds: Long = 0
 }
