Take an answer whose request could not be sent whole for broken off

Netty closes a connection on which a write fails, without an exception, and processes a pending write before what can be read. An answer with neither a length nor chunks then ended as if its endpoint had closed the connection, so a reset was taken for the end of the body, of streams and of whole answers. The same holds for a connection that this instance closes itself: it now ends the answer as broken.

ResetWhileSendingSpec failed before: End where Broken is expected.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
@@ -85,15 +85,15 @@
         if (call.body.isNotEmpty() || call.method !in BODILESS_METHODS) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body.size)
         }
-        written = channel.writeAndFlush(request)
+        // A failed write closes the connection without an exception, which would look like the end of the answer.
+        written = channel.writeAndFlush(request).addListener { sent ->
+            if (!sent.isSuccess) fail("the request was not sent whole: ${sent.cause()?.message}", isDisconnect = true)
+        }
         return answer
     }
 
     /** Closes the connection. The endpoint then stops working on the request that it carries. */
-    fun close() {
-        isReusable = false
-        channel.close()
-    }
+    fun close() = fail("closed by this instance")
 
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
         if (message.decoderResult().isFailure) return fail("unreadable answer: ${message.decoderResult().cause()}")
