--- a/node/src/main/kotlin/org/nutmegspring/node/engine/ServiceClient.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/engine/ServiceClient.kt
@@ -9,7 +9,9 @@
 import io.ktor.client.request.setBody
 import io.ktor.client.statement.HttpResponse
 import io.ktor.client.statement.bodyAsChannel
+import io.ktor.client.statement.request
 import io.ktor.http.HttpMethod
+import io.ktor.http.contentLength
 import io.ktor.utils.io.readRemaining
 import io.opentelemetry.api.trace.SpanKind
 import io.opentelemetry.api.trace.StatusCode
@@ -102,6 +104,11 @@
             val message = "the answer is larger than $maximumAnswerBytes bytes"
             return Failure(Step.READ_ANSWER, peer, Effect.UNKNOWN, message).left()
         }
+        val length = response.contentLength().takeIf { response.request.method != HttpMethod.Head }
+        if (length != null && body.size < length) {
+            val message = "the answer was cut off after ${body.size} of $length bytes"
+            return Failure(Step.READ_ANSWER, peer, Effect.UNKNOWN, message).left()
+        }
         val headers = response.headers.entries().flatMap { (name, values) -> values.map { Header(name, it) } }
         return ServiceAnswer(response.status.value, headers, body).right()
     }
