Log when the store has returned from an older copy

The header Store-Era of its answers was not read, so that no line of the log and no metric told of it: `store restored` and gateway_store_era.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -45,6 +45,7 @@
 import org.nutmegspring.gateway.store.FeedFollower
 import org.nutmegspring.gateway.store.FeedListener
 import org.nutmegspring.gateway.store.StoreFeed
+import org.nutmegspring.gateway.store.StoreHistory
 import org.nutmegspring.identity.Incarnation
 import org.nutmegspring.identity.OrganisationId
 import org.nutmegspring.identity.ServiceId
@@ -77,7 +78,8 @@
     private val incarnation = Incarnation(random.nextLong())
     private val startedAtMilliseconds = System.currentTimeMillis()
     private val connections = EndpointConnections(loop, clock, CONNECT_TIMEOUT)
-    private val platform = platformFactory(connections, initial.platform) {
+    private val history = StoreHistory { previous, era -> log.record(DecisionEvent.StoreRestored(previous, era)) }
+    private val platform = platformFactory(connections, initial.platform, history) {
         log.record(DecisionEvent.Skipped("an object of the store", it))
     }
     private val metrics = GatewayMetrics()
@@ -157,6 +159,7 @@
             crashGuard,
             loopDelay,
             clock,
+            { history.era.value },
         ) { duties.isHolding }
     }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayStart.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayStart.kt
@@ -5,9 +5,10 @@
 import org.nutmegspring.gateway.settings.GatewaySettings
 import org.nutmegspring.gateway.settings.PlatformSettings
 import org.nutmegspring.gateway.store.PlatformPorts
+import org.nutmegspring.gateway.store.StoreHistory
 
-/** Creates the platform's ports from connections, settings and a callback for unreadable objects. */
-typealias PlatformFactory = (EndpointConnections, PlatformSettings, (String) -> Unit) -> PlatformPorts
+/** Creates the platform's ports from connections, settings, the history of the store and a callback for bad objects. */
+typealias PlatformFactory = (EndpointConnections, PlatformSettings, StoreHistory, (String) -> Unit) -> PlatformPorts
 
 /**
  * Starts an instance with [settings] on the platform that [platformFactory] creates.
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
@@ -9,6 +9,7 @@
 import org.nutmegspring.gateway.observe.StatusSnapshot
 import org.nutmegspring.gateway.peers.ExchangeTraffic
 import org.nutmegspring.gateway.peers.PeerTable
+import org.nutmegspring.platform.StoreEra
 import org.nutmegspring.time.MonotonicClock
 import kotlin.time.DurationUnit
 
@@ -22,6 +23,7 @@
     private val crashGuard: CrashGuard,
     private val loopDelay: EventLoopDelay,
     private val clock: MonotonicClock,
+    private val storeEra: () -> StoreEra?,
     private val isHoldingDuties: () -> Boolean,
 ) {
     /** Registers the gauges with [metrics]. */
@@ -53,6 +55,7 @@
         metrics.registerGauge("gateway_limited_endpoint_requests") {
             endpoints.allStates().sumOf { it.limit.sentRequests }.toDouble()
         }
+        metrics.registerGauge("gateway_store_era") { storeEra()?.value?.toDouble() ?: -1.0 }
         metrics.registerGauge("gateway_duty_held") { if (isHoldingDuties()) 1.0 else 0.0 }
     }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
@@ -10,6 +10,7 @@
 import org.nutmegspring.identity.PromptPartId
 import org.nutmegspring.identity.RequestId
 import org.nutmegspring.placement.EnginePlan
+import org.nutmegspring.platform.StoreEra
 import kotlin.time.Duration
 
 /** How a request ended. */
@@ -187,6 +188,13 @@
         override fun fields(): Map<String, Any?> = mapOf("dependency" to dependency)
     }
 
+    /** The store returned from an older copy: what was written there lately may be gone. */
+    class StoreRestored(private val previous: StoreEra, private val era: StoreEra) : DecisionEvent {
+        override val name: String get() = "store restored"
+
+        override fun fields(): Map<String, Any?> = mapOf("era" to era.value, "previous" to previous.value)
+    }
+
     /** Something was skipped, usually because it could not be decoded, or a task of the instance failed. */
     class Skipped(private val what: String, private val reason: String) : DecisionEvent {
         override val name: String get() = "passed over"
--- /dev/null
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/store/StoreHistory.kt
@@ -0,0 +1,29 @@
+package org.nutmegspring.gateway.store
+
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.asStateFlow
+import org.nutmegspring.platform.StoreEra
+
+/**
+ * The era of the platform's store, as its answers tell it. Used on the event loop only.
+ *
+ * @param onChange called with the previous and the new era when the store has returned from an older copy
+ */
+class StoreHistory(private val onChange: (StoreEra, StoreEra) -> Unit) {
+    private val current = MutableStateFlow<StoreEra?>(null)
+
+    /** The era of the newest answer, or null before the first. */
+    val era: StateFlow<StoreEra?> = current.asStateFlow()
+
+    /** Records that an answer named [answered], null for none. Returns the era of the answer. */
+    fun record(answered: StoreEra?): StoreEra {
+        val known = current.value
+        val era = answered ?: known ?: StoreEra.FIRST
+        if (known == null || era > known) {
+            current.value = era
+            if (known != null) onChange(known, era)
+        }
+        return era
+    }
+}
--- a/model/src/main/kotlin/org/nutmegspring/platform/ObjectStore.kt
+++ b/model/src/main/kotlin/org/nutmegspring/platform/ObjectStore.kt
@@ -12,7 +12,28 @@
     override fun toString(): String = value
 }
 
-/** The version that the store assigns to each change. All objects share one increasing sequence of versions. */
+/**
+ * A period in which the store loses nothing that it has acknowledged. It begins anew each time that the store returns
+ * from an older copy, with a greater [value]. Versions and positions of different eras must not be compared.
+ */
+@Serializable
+@JvmInline
+public value class StoreEra(public val value: Long) : Comparable<StoreEra> {
+    override fun compareTo(other: StoreEra): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value.toString()
+
+    /** Holds the first era. */
+    public companion object {
+        /** The era of a store that names none. */
+        public val FIRST: StoreEra = StoreEra(0)
+    }
+}
+
+/**
+ * The version that the store assigns to each change. All objects share one increasing sequence of versions, which goes
+ * back and is given out again when a new [StoreEra] begins.
+ */
 @Serializable
 @JvmInline
 public value class ObjectVersion(public val value: Long) : Comparable<ObjectVersion> {
