Hold leases per era of the store, which may return from an older copy

A holder and those that stand by had seen a version that the store had given back. They took every lease that they read for an older one than that, and every write was a conflict that was followed by the next at once. Nobody held the duties until the versions had caught up.

The class: a version counts only with the history that it belongs to. A call whose answer names another era than the one in which it was made fails with EraChanged. Each era has its own lease object, the fencing token holds the era, and nobody takes the lease of a new era before all earlier ones have expired.

--- a/decisions/src/main/kotlin/org/nutmegspring/execution/ClaimState.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/execution/ClaimState.kt
@@ -34,7 +34,7 @@
         when (failure) {
             is StoreFailure.Conflict -> stateOf(own, failure.current)
             is StoreFailure.Refused -> ClaimState.Refused
-            is StoreFailure.Unanswered -> ClaimState.Unsettled(condition)
+            is StoreFailure.Unanswered, is StoreFailure.EraChanged -> ClaimState.Unsettled(condition)
         }
     },
     { ClaimState.Owned(it) },
--- a/decisions/src/main/kotlin/org/nutmegspring/lease/Duty.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/lease/Duty.kt
@@ -2,12 +2,19 @@
 
 import org.nutmegspring.identity.DataCentreId
 import org.nutmegspring.platform.ObjectKey
+import org.nutmegspring.platform.StoreEra
 
 /** A control task that at most one instance performs at a time, under a lease. */
 sealed interface Duty {
-    /** The key of the lease object of this duty. */
+    /** The key of the lease object of this duty, in the first era. */
     val key: ObjectKey
 
+    /**
+     * Returns the key of the lease object in [era]. Each era has an object of its own, so that a write that was meant
+     * for an earlier one cannot replace a lease.
+     */
+    fun keyIn(era: StoreEra): ObjectKey = if (era == StoreEra.FIRST) key else ObjectKey("${key.value}/era-$era")
+
     /** Sends orders to the engines of [dataCentre]. An engine never changes data centre, so its duty never changes. */
     data class EngineOrders(val dataCentre: DataCentreId) : Duty {
         override val key: ObjectKey get() = dutyKey("engines", dataCentre.value)
--- a/decisions/src/main/kotlin/org/nutmegspring/lease/LeaseRules.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/lease/LeaseRules.kt
@@ -1,6 +1,7 @@
 package org.nutmegspring.lease
 
 import org.nutmegspring.identity.FencingToken
+import org.nutmegspring.platform.StoreEra
 import org.nutmegspring.platform.WriteCondition
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration
@@ -29,8 +30,8 @@
             seen != null && isOwn(state) -> renewOrRelease(state, seen, desiredRole, now)
             now >= readAgainAt -> LeaseAction.Read
             desiredRole == LeaseRole.NONE -> LeaseAction.Wait(readAgainAt)
-            now >= earliestTakeover(seen, readAt, desiredRole) -> takeOver(state, now)
-            else -> LeaseAction.Wait(minOf(readAgainAt, earliestTakeover(seen, readAt, desiredRole)))
+            now >= earliestTakeover(state, readAt, desiredRole, now) -> takeOver(state, now)
+            else -> LeaseAction.Wait(minOf(readAgainAt, earliestTakeover(state, readAt, desiredRole, now)))
         }
     }
 
@@ -57,6 +58,23 @@
         )
     }
 
+    /**
+     * Returns the state after the store was first seen in [era] at [now].
+     *
+     * Leases of earlier eras are not known to the store any more, but their holders may still act under them: the last
+     * renewal was accepted before [era] began. Nobody else takes the lease before they have expired.
+     */
+    fun onNewEra(state: LeaseState, era: StoreEra, now: MonotonicTime): LeaseState = LeaseState(
+        self = state.self,
+        lastSequence = state.lastSequence,
+        era = era,
+        inherited = state.validLease(now),
+        freeAt = earliestInNewEra(now),
+    )
+
+    /** Returns when the leases of earlier eras have expired, if the new one was first seen at [now]. */
+    protected open fun earliestInNewEra(now: MonotonicTime): MonotonicTime = now + takeoverWait(timing.duration)
+
     /** Returns the state after a call went unanswered, which requires reading the object again. */
     fun onUnanswered(state: LeaseState): LeaseState = state.copy(readAt = null)
 
@@ -86,18 +104,25 @@
     private fun isUninvolved(state: LeaseState): Boolean =
         state.held == null && state.unresolved.isEmpty() && !isOwn(state)
 
-    private fun earliestTakeover(seen: SeenLease?, readAt: MonotonicTime, desiredRole: LeaseRole): MonotonicTime {
+    private fun earliestTakeover(
+        state: LeaseState,
+        readAt: MonotonicTime,
+        desiredRole: LeaseRole,
+        now: MonotonicTime,
+    ): MonotonicTime {
         val delay = if (desiredRole == LeaseRole.HOLD) Duration.ZERO else standbyDelay
+        val seen = state.seen
         return when {
-            seen == null -> readAt + delay
+            seen == null && state.inherited?.isValid(now) == true -> readAt
+            seen == null -> maxOf(readAt, state.freeAt ?: readAt) + delay
             seen.record.released -> seen.firstSeenAt + delay
             else -> seen.firstSeenAt + takeoverWait(seen.record.durationMilliseconds.milliseconds) + delay
         }
     }
 
     private fun takeOver(state: LeaseState, now: MonotonicTime): LeaseAction {
-        val fencing = FencingToken((state.seen?.record?.fencing?.value ?: 0) + 1)
-        return createWrite(state, state.seen, fencing, now)
+        val last = state.seen?.record?.fencing?.value ?: greatestTokenBefore(state.era)
+        return createWrite(state, state.seen, FencingToken(last + 1), now)
     }
 
     private fun createWrite(
@@ -117,4 +142,12 @@
         val condition = replaced?.let { WriteCondition.AtVersion(it.version) } ?: WriteCondition.Absent
         return LeaseAction.Write(LeaseWrite(record, condition, now))
     }
+
+    private companion object {
+        /** The low bits of a fencing token, which count the holders in an era; the others are the era. */
+        const val HOLDER_BITS = 32
+
+        /** Returns a token that is at least as great as all that were used in the eras before [era]. */
+        fun greatestTokenBefore(era: StoreEra): Long = era.value shl HOLDER_BITS
+    }
 }
--- a/decisions/src/main/kotlin/org/nutmegspring/lease/LeaseState.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/lease/LeaseState.kt
@@ -2,6 +2,7 @@
 
 import org.nutmegspring.identity.FencingToken
 import org.nutmegspring.platform.ObjectVersion
+import org.nutmegspring.platform.StoreEra
 import org.nutmegspring.platform.WriteCondition
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration
@@ -57,6 +58,9 @@
  * @property held the lease, if this process is known to hold it; check [HeldLease.isValid] before relying on it
  * @property unresolved writes of this process that may have taken effect or may still do so
  * @property lastSequence the sequence number of the last write of this process
+ * @property era the era of the store to which [seen], [held] and [unresolved] belong
+ * @property inherited the lease that this process held when [era] began
+ * @property freeAt when all leases of earlier eras have expired, or null if there were none
  */
 data class LeaseState(
     val self: LeaseHolder,
@@ -65,7 +69,17 @@
     val held: HeldLease? = null,
     val unresolved: List<LeaseWrite> = emptyList(),
     val lastSequence: Long = 0,
-)
+    val era: StoreEra = StoreEra.FIRST,
+    val inherited: HeldLease? = null,
+    val freeAt: MonotonicTime? = null,
+) {
+    /**
+     * Returns the lease that this process holds at [now], or null. An inherited one is used to its end, so that no call
+     * under its token can arrive after one under a greater token.
+     */
+    fun validLease(now: MonotonicTime): HeldLease? =
+        inherited?.takeIf { it.isValid(now) } ?: held?.takeIf { it.isValid(now) }
+}
 
 /** The next step of a process for a lease. */
 sealed interface LeaseAction {
--- a/decisions/src/test/kotlin/org/nutmegspring/lease/LeaseRulesSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/lease/LeaseRulesSpec.kt
@@ -5,6 +5,7 @@
 import org.nutmegspring.identity.Incarnation
 import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.platform.ObjectVersion
+import org.nutmegspring.platform.StoreEra
 import org.nutmegspring.platform.WriteCondition
 import org.nutmegspring.time.MonotonicTime
 import kotlin.test.Test
@@ -132,4 +133,53 @@
             assertIs<LeaseAction.Wait>(rules.nextAction(released, LeaseRole.STAND_BY, at(1.seconds)))
         }
     }
+
+    @Nested
+    inner class `when the store has returned from an older copy` {
+        private val era = StoreEra(3)
+        private val expiry = 10.seconds + timing.withClockMargin(6.seconds)
+
+        private fun absentAt(state: LeaseState, now: MonotonicTime) = rules.onObserved(state, null, now)
+
+        @Test
+        fun `a process without the lease waits until all earlier leases have expired`() {
+            val waiting = rules.onNewEra(LeaseState(self), era, at(10.seconds))
+            val early = at(expiry - 1.milliseconds)
+            assertIs<LeaseAction.Wait>(rules.nextAction(absentAt(waiting, early), LeaseRole.HOLD, early))
+            assertIs<LeaseAction.Write>(rules.nextAction(absentAt(waiting, at(expiry)), LeaseRole.HOLD, at(expiry)))
+        }
+
+        @Test
+        fun `a lower version than the one seen before is not ignored`() {
+            val seen = rules.onObserved(LeaseState(self), lease(70, other, 9), at(9.seconds))
+            val restored = rules.onNewEra(seen, era, at(10.seconds))
+            assertEquals(ObjectVersion(7), rules.onObserved(restored, lease(7, other, 1), at(10.seconds)).seen?.version)
+        }
+
+        @Test
+        fun `the first token is greater than all of earlier eras`() {
+            val last = rules.onNewEra(LeaseState(self), StoreEra(2), at(0.seconds))
+                .let { absentAt(it, at(10.seconds)) }
+                .let { writeAt(it, at(10.seconds)) }
+            val restored = absentAt(rules.onNewEra(LeaseState(self), era, at(10.seconds)), at(expiry))
+            assertTrue(writeAt(restored, at(expiry)).record.fencing > last.record.fencing)
+        }
+
+        @Test
+        fun `the holder takes the lease at once, and keeps its token until the earlier lease has expired`() {
+            val first = absentAt(LeaseState(self), at(8.seconds))
+            val write = writeAt(first, at(8.seconds))
+            val sent = rules.onSend(first, write)
+            val holding = rules.onObserved(sent, VersionedLease(ObjectVersion(5), write.record), at(8.1.seconds))
+            val restored = absentAt(rules.onNewEra(holding, era, at(10.seconds)), at(10.seconds))
+            val taken = writeAt(restored, at(10.seconds))
+            val granted = rules.onObserved(
+                rules.onSend(restored, taken),
+                VersionedLease(ObjectVersion(3), taken.record),
+                at(10.1.seconds),
+            )
+            assertEquals(write.record.fencing, granted.validLease(at(13.9.seconds))?.fencing)
+            assertEquals(taken.record.fencing, granted.validLease(at(14.seconds))?.fencing)
+        }
+    }
 }
--- a/model/src/main/kotlin/org/nutmegspring/platform/ObjectStore.kt
+++ b/model/src/main/kotlin/org/nutmegspring/platform/ObjectStore.kt
@@ -69,10 +69,22 @@
 
     /** The call received no reply. A write may have taken effect or may still do so. */
     public data class Unanswered(public val failure: Failure) : StoreFailure
+
+    /**
+     * Another era has begun since [from]. What was read or written before may be gone, and a write may have taken
+     * effect in either era.
+     */
+    public data class EraChanged(public val from: StoreEra) : StoreFailure
 }
 
 /** The platform's versioned object store. The platform counts each call; a long-polling watch counts as one call. */
 public interface ObjectStore {
+    /**
+     * The era of the store, or null before its first answer. A call that succeeds was answered in the era that the
+     * store had when the call was made; otherwise it fails with [StoreFailure.EraChanged].
+     */
+    public val era: StoreEra? get() = StoreEra.FIRST
+
     /** Returns the object at [key], or null if it does not exist. */
     public suspend fun read(key: ObjectKey): Either<StoreFailure, VersionedObject?>
 
--- a/node/src/main/kotlin/org/nutmegspring/node/control/EngineOrderer.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/control/EngineOrderer.kt
@@ -173,5 +173,6 @@
 internal fun StoreFailure.toFailure(step: Step): Failure = when (this) {
     is StoreFailure.Refused -> failure
     is StoreFailure.Unanswered -> failure
+    is StoreFailure.EraChanged -> Failure(step, Peer.PLATFORM, Effect.UNKNOWN, "the era $from of the store has ended")
     is StoreFailure.Conflict -> Failure(step, Peer.PLATFORM, Effect.NOT_RUN, "the object was changed concurrently")
 }
--- a/node/src/main/kotlin/org/nutmegspring/node/control/LeaseManager.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/control/LeaseManager.kt
@@ -26,7 +26,7 @@
 class LeaseManager(
     val duty: Duty,
     self: LeaseHolder,
-    store: ObjectStore,
+    private val store: ObjectStore,
     private val clock: MonotonicClock,
     private val rules: LeaseRules,
     private val desiredRole: () -> LeaseRole,
@@ -38,7 +38,7 @@
     private var state = LeaseState(self)
 
     /** Returns the lease if this process holds it at present, or null otherwise. */
-    fun heldLease(): HeldLease? = state.held?.takeIf { it.isValid(clock.now()) }
+    fun heldLease(): HeldLease? = state.validLease(clock.now())
 
     /** Manages the lease until the coroutine is cancelled. */
     suspend fun run(): Nothing {
@@ -46,6 +46,8 @@
     }
 
     private suspend fun executeNextAction() {
+        val era = store.era ?: return learnEra()
+        if (era != state.era) state = rules.onNewEra(state, era, clock.now())
         when (val action = rules.nextAction(state, effectiveRole(), clock.now())) {
             is LeaseAction.Read -> read()
             is LeaseAction.Write -> write(action.write)
@@ -53,13 +55,18 @@
         }
     }
 
+    /** Makes a call whose answer tells the era; what it reads does not matter. */
+    private suspend fun learnEra() {
+        records.read(duty.key).onLeft { delay(RETRY_DELAY) }
+    }
+
     private fun effectiveRole(): LeaseRole {
         val desired = desiredRole()
         return if (desired == LeaseRole.NONE && heldLease() != null && !canRelease()) LeaseRole.HOLD else desired
     }
 
     private suspend fun read() {
-        when (val found = records.read(duty.key)) {
+        when (val found = records.read(duty.keyIn(state.era))) {
             is Either.Left -> handleUnanswered()
             is Either.Right -> state = rules.onObserved(state, found.value?.toLease(), clock.now())
         }
@@ -67,7 +74,7 @@
 
     private suspend fun write(write: LeaseWrite) {
         state = rules.onSend(state, write)
-        when (val written = records.write(duty.key, write.record, write.condition)) {
+        when (val written = records.write(duty.keyIn(state.era), write.record, write.condition)) {
             is Either.Right -> state = rules.onObserved(state, VersionedLease(written.value, write.record), clock.now())
             is Either.Left -> handleFailedWrite(written.value)
         }
