Let a standby take a lease that is absent

Its wait was counted from the last read, which is repeated before the wait is over, so that a lease that had never been taken was left to the preferred process alone.

--- a/decisions/src/main/kotlin/org/nutmegspring/lease/LeaseRules.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/lease/LeaseRules.kt
@@ -45,7 +45,9 @@
     /** Returns the state after the store reported [lease], or no object when it is null, at [now]. */
     fun onObserved(state: LeaseState, lease: VersionedLease?, now: MonotonicTime): LeaseState {
         val seen = state.seen
-        if (lease == null) return state.copy(seen = null, readAt = now, held = null)
+        if (lease == null) {
+            return state.copy(seen = null, readAt = now, held = null, freeAt = state.freeAt ?: now)
+        }
         if (seen != null && lease.version < seen.version) return state.copy(readAt = now)
         val current = if (seen?.version == lease.version) seen else SeenLease(lease, now)
         val own = lease.record.writer == state.self
@@ -114,7 +116,7 @@
         val seen = state.seen
         return when {
             seen == null && state.inherited?.isValid(now) == true -> readAt
-            seen == null -> maxOf(readAt, state.freeAt ?: readAt) + delay
+            seen == null -> maxOf(readAt, (state.freeAt ?: readAt) + delay)
             seen.record.released -> seen.firstSeenAt + delay
             else -> seen.firstSeenAt + takeoverWait(seen.record.durationMilliseconds.milliseconds) + delay
         }
--- a/decisions/src/main/kotlin/org/nutmegspring/lease/LeaseState.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/lease/LeaseState.kt
@@ -60,7 +60,7 @@
  * @property lastSequence the sequence number of the last write of this process
  * @property era the era of the store to which [seen], [held] and [unresolved] belong
  * @property inherited the lease that this process held when [era] began
- * @property freeAt when all leases of earlier eras have expired, or null if there were none
+ * @property freeAt when an absent lease is free, since all of earlier eras have expired; null before it was read
  */
 data class LeaseState(
     val self: LeaseHolder,
--- a/decisions/src/test/kotlin/org/nutmegspring/lease/RestoredLeaseSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/lease/RestoredLeaseSpec.kt
@@ -34,6 +34,11 @@
             assertEquals(emptySet(), outcomes.filterValues { !it.isSafe }.keys)
             assertTrue(outcomes.values.all { it.arrivals.isNotEmpty() })
         }
+
+        @Test
+        fun `a process holds the lease in the end`() {
+            assertEquals(emptySet(), outcomes.filterValues { !it.isHeld }.keys)
+        }
     }
 
     @Nested
