Register again when the store has lost the record of an instance

An instance wrote its record once, at its start, and the others forgot it with the first list that lacked it, its share of quotas and limits too. It now writes it again in each era of the store, and one that still reports is kept meanwhile.

RestoredStoreSpec failed before: two of three instances knew none of the others.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/FeedListeners.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/FeedListeners.kt
@@ -89,16 +89,18 @@
     }
 }
 
-/** Applies changes of the listed instances. */
+/** Applies changes of the listed instances. One that still reports is kept: the store may have lost its record. */
 internal class InstanceListener(
     private val peers: PeerTable,
     private val quotas: QuotaTable,
+    private val clock: MonotonicClock,
     private val decode: (String) -> InstanceRecord?,
     log: DecisionLog,
 ) : LoggedFeedListener<String>("instances", log) {
     override fun onListed(listing: Listing<String>, callStartedAt: MonotonicTime, regainedAt: MonotonicTime?) {
         val listed = listing.entries.map { InstanceId(it.name) }.toSet()
-        peers.registered.keys.filter { it !in listed }.forEach(peers::unregister)
+        val reporting = peers.liveReports(clock.now()).map { it.instance }.toSet()
+        peers.registered.keys.filter { it !in listed && it !in reporting }.forEach(peers::unregister)
         listing.entries.forEach { entry -> register(entry.name, entry.value) }
         quotas.updateMembers(peers.registered.keys)
     }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -194,10 +194,10 @@
         followFeed(platform.endpoints, EndpointListener(endpoints, clock, log), ENDPOINT_WAIT)
         followFeed(
             platform.objectFeed(InstanceRegistration.KIND),
-            InstanceListener(peers, quotas, registration::decode, log),
+            InstanceListener(peers, quotas, clock, registration::decode, log),
             INSTANCE_WAIT,
         )
-        scope.launch { registration.register() }
+        scope.launch { registration.run() }
         scope.launch { exchange.run(::composeReports) }
         scope.launch { runPeriodicTasks() }
         scope.launch { logStatus() }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceRegistration.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceRegistration.kt
@@ -20,8 +20,17 @@
     private val record: InstanceRecord,
     private val log: DecisionLog,
 ) {
+    /** Keeps this instance's record in the store, which may lose it when it returns from an older copy. */
+    suspend fun run(): Nothing {
+        while (true) {
+            val era = store.era
+            register()
+            while (store.era == era) delay(ERA_CHECK)
+        }
+    }
+
     /** Writes this instance's record unless the store has it already; retries until it is stored. */
-    suspend fun register() {
+    private suspend fun register() {
         val records = TypedObjectStore(store, InstanceRecord.serializer())
         val key = ObjectKey("$KIND/${self.value}")
         while (true) {
@@ -48,5 +57,6 @@
         const val KIND = "instances"
         private val json = Json { ignoreUnknownKeys = true }
         private val REGISTER_PAUSE = 300.milliseconds
+        private val ERA_CHECK = 100.milliseconds
     }
 }
