Ignore descriptions of endpoints from before what is known of them

A store that had returned from an older copy showed endpoints as ready that had been departing or gone, and got them work again. A description now counts by its own process and sequence, whatever revision it has, and the last one of an endpoint that has left is remembered.

EndpointTableSpec failed before in two cases: an endpoint that was departing and one that had left got work.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
@@ -101,7 +101,7 @@
             cacheEstimate.clear()
             limit.reset()
         }
-        if (changed != endpoint) {
+        if (!changed.describesSameAs(endpoint)) {
             isMisdirected = false
             avoidedUntil = null
         }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointTable.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointTable.kt
@@ -26,6 +26,9 @@
 
     /** Its entry was lost during an outage of the store; it is used for a while longer. */
     LAPSED,
+
+    /** The store shows a description that is older than the known one or than its departure; it is not applied. */
+    OUTDATED,
 }
 
 /** The endpoints that the platform's store lists, with what this instance knows of each. */
@@ -36,6 +39,9 @@
 ) {
     private val states = LinkedHashMap<EndpointId, EndpointState>()
 
+    /** The last descriptions of endpoints whose entries were removed, the latest last. */
+    private val departed = LinkedHashMap<EndpointId, ServingEndpoint>()
+
     /** The evidence that the table is what the store holds. */
     val evidence = FreshnessEvidence()
 
@@ -106,6 +112,8 @@
 
     private fun addOrUpdate(endpoint: ServingEndpoint) {
         val known = states[endpoint.id]
+        if (isOutdated(endpoint, known)) return onChange(endpoint, EndpointChange.OUTDATED)
+        departed.remove(endpoint.id)
         if (known == null) {
             states[endpoint.id] = EndpointState(endpoint, cacheCapacity(endpoint.service))
             onChange(endpoint, EndpointChange.APPEARED)
@@ -114,15 +122,32 @@
         val before = known.endpoint
         known.updateDescription(endpoint)
         when {
-            before == endpoint -> Unit
+            before.describesSameAs(endpoint) -> Unit
             endpoint.state == ListedState.DEPARTING -> onChange(endpoint, EndpointChange.DEPARTING)
             else -> onChange(endpoint, EndpointChange.CHANGED)
         }
     }
 
+    /**
+     * Whether [endpoint] is an older description than the known one, or one from before its departure. A store that has
+     * returned from an older copy shows such descriptions until the endpoints have written theirs again.
+     */
+    private fun isOutdated(endpoint: ServingEndpoint, known: EndpointState?): Boolean {
+        val age = known?.let { endpoint.compareAge(it.endpoint) }
+        val ageAtDeparture = departed[endpoint.id]?.let { endpoint.compareAge(it) }
+        return (age != null && age < 0) || (ageAtDeparture != null && ageAtDeparture <= 0)
+    }
+
     private fun handleRemoval(id: EndpointId, regainedAt: MonotonicTime?, now: MonotonicTime) {
         val graceEnd = regainedAt?.let { it + REREGISTRATION_TIME }
-        if (graceEnd != null && now < graceEnd) markLapsed(id, graceEnd) else remove(id)
+        if (graceEnd != null && now < graceEnd) return markLapsed(id, graceEnd)
+        states[id]?.let { rememberDeparture(it.endpoint) }
+        remove(id)
+    }
+
+    private fun rememberDeparture(endpoint: ServingEndpoint) {
+        departed[endpoint.id] = endpoint
+        if (departed.size > MAXIMUM_DEPARTED) departed.remove(departed.keys.first())
     }
 
     private fun markLapsed(id: EndpointId, until: MonotonicTime) {
@@ -139,5 +164,8 @@
     private companion object {
         /** Running endpoints register again within about two seconds after the store recovers. */
         val REREGISTRATION_TIME: Duration = 1900.milliseconds
+
+        /** Many times the endpoints that leave in the seconds that a store may lose. */
+        const val MAXIMUM_DEPARTED = 1_000
     }
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/ServingEndpoint.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/ServingEndpoint.kt
@@ -14,6 +14,7 @@
  * @property role the stage of the work that an engine accepts, null for a plain service
  * @property isInterruptible whether the platform can reclaim it at short notice
  * @property bornAt start of the process in milliseconds since the epoch; distinguishes processes that use the same id
+ * @property sequence increases with each description of the process
  */
 data class ServingEndpoint(
     val id: EndpointId,
@@ -25,4 +26,21 @@
     val role: EngineRole?,
     val bornAt: Long?,
     val isInterruptible: Boolean = false,
-)
+    val sequence: Long? = null,
+) {
+    /** Whether this and [other] differ in nothing but the sequence. */
+    fun describesSameAs(other: ServingEndpoint): Boolean = copy(sequence = other.sequence) == other
+
+    /**
+     * Compares the age of this description with that of [other]: negative when it is older, null when they are not of
+     * the same process.
+     */
+    fun compareAge(other: ServingEndpoint): Int? {
+        val isSameProcess = bornAt != null && bornAt == other.bornAt
+        return if (isSameProcess && sequence != null && other.sequence != null) {
+            sequence.compareTo(other.sequence)
+        } else {
+            null
+        }
+    }
+}
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/Fixtures.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/Fixtures.kt
@@ -83,6 +83,7 @@
     state: ListedState = ListedState.LIVE,
     bornAt: Long? = 1,
     address: String = "10.0.0.1:80",
+    sequence: Long? = null,
 ) = ServingEndpoint(
     id = EndpointId(name),
     service = desk,
@@ -92,6 +93,7 @@
     state = state,
     role = null,
     bornAt = bornAt,
+    sequence = sequence,
 )
 
 internal fun crashGuardOf(clock: MonotonicClock): CrashGuard {
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/endpoints/EndpointTableSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/endpoints/EndpointTableSpec.kt
@@ -12,6 +12,7 @@
 import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.placement.buildPromptChain
 import org.nutmegspring.platform.ListedState
+import org.nutmegspring.time.MonotonicTime
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -125,4 +126,49 @@
             assertEquals(0, state.toEngineCandidate(chain, clock.now()).cachedTokens)
         }
     }
+
+    @Nested
+    inner class `when the store has returned from an older copy` {
+        private val ready = endpointOf("a", sequence = 4)
+
+        private fun list(vararg endpoints: ServingEndpoint, regainedAt: MonotonicTime? = null) =
+            table.replace(listing(*endpoints), regainedAt, clock.now())
+
+        @Test
+        fun `an endpoint that was departing gets no work, though the copy shows it as ready`() {
+            list(ready)
+            changed(endpointOf("a", ListedState.DEPARTING, sequence = 6))
+            list(ready, regainedAt = clock.now())
+            assertEquals(emptyList(), usable())
+            assertEquals("a" to EndpointChange.OUTDATED, changes.last())
+        }
+
+        @Test
+        fun `an endpoint that had left gets no work, though the copy has its entry`() {
+            list(ready)
+            table.applyChange(FeedEvent.Removed("a"), null, clock.now())
+            list(ready, regainedAt = clock.now())
+            assertEquals(emptyList(), usable())
+        }
+
+        @Test
+        fun `an endpoint that had left is used again once it has written a newer entry, or is a new process`() {
+            list(ready, endpointOf("b", sequence = 9))
+            list()
+            changed(endpointOf("a", sequence = 5))
+            changed(endpointOf("b", sequence = 1, bornAt = 2))
+            assertEquals(listOf("a", "b"), usable())
+        }
+
+        @Test
+        fun `an endpoint that registered lately is used until it has had time to register again`() {
+            list(ready)
+            list(regainedAt = clock.now())
+            assertEquals(listOf("a"), usable())
+            changed(ready)
+            clock.advance(10.seconds)
+            table.removeLapsed(clock.now())
+            assertEquals(listOf("a"), usable())
+        }
+    }
 }
