Count only an answer that shows the newest known configuration as evidence

Each answer of the store was evidence that the configuration held is the newest, also when the store had returned from an older copy and showed an older one. An instance that started then learned the older version, believed it current and accepted a revoked key. The store must now show a version at least as new as any instance knows, and reports of a newer one end the evidence.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointListCurrency.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointListCurrency.kt
@@ -11,7 +11,7 @@
  * The age of the list alone does not tell: during an outage of the store the endpoints stay in use. The list is behind
  * when calls for its changes failed while the store answered calls for configurations that began later.
  *
- * @param configuration the evidence that the configuration is the newest
+ * @param configuration the answered calls for configurations
  * @param departureTime returns how long an endpoint may still get requests after its departure was accepted
  */
 class EndpointListCurrency(
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Admission.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Admission.kt
@@ -86,7 +86,7 @@
         val owner =
             configuration.findOrganisation(key) ?: raise(deferIfStale(Refusal.Unauthenticated("the key is unknown")))
         val limit = bounds().maximumEvidenceAge
-        if (limit != null && !currentConfiguration.evidence.isYoungerThan(limit, clock.now())) {
+        if (limit != null && !currentConfiguration.hasEvidence(limit, clock.now())) {
             return createUnavailable("it is not proved that the key still holds").left()
         }
         owner
@@ -94,7 +94,7 @@
 
     /** Replaces [refusal] by [Refusal.Unavailable] while the freshness evidence is not recent. */
     private fun deferIfStale(refusal: Refusal): Refusal =
-        if (currentConfiguration.evidence.isYoungerThan(bounds().maximumPropagationDelay, clock.now())) {
+        if (currentConfiguration.hasEvidence(bounds().maximumPropagationDelay, clock.now())) {
             refusal
         } else {
             createUnavailable("${refusal.reason}, and a newer configuration may exist")
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/GatewayHandler.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/GatewayHandler.kt
@@ -161,7 +161,7 @@
     }
 
     private fun createDecisionBasis() =
-        DecisionBasis(currentConfiguration.configuration?.version, currentConfiguration.evidence.age(clock.now()))
+        DecisionBasis(currentConfiguration.configuration?.version, currentConfiguration.evidenceAge(clock.now()))
 
     private companion object {
         const val STATUS_BAD_REQUEST = 400
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
@@ -23,8 +23,42 @@
     var configuration: ServingConfiguration? = null
         private set
 
-    /** The evidence that it is the newest. */
-    val evidence = FreshnessEvidence()
+    private val evidence = FreshnessEvidence()
+
+    /** The calls for configurations that the store has answered, whatever version it showed. */
+    val answers = FreshnessEvidence()
+
+    private var newestReported = 0L
+    private var behindSince: MonotonicTime? = null
+
+    /**
+     * Records that a call that began at [callStartedAt] was answered, and that the store shows version [shown], null
+     * for none. This is no evidence while the store shows an older version than one known to any instance.
+     */
+    fun recordAnswer(shown: Long?, callStartedAt: MonotonicTime) {
+        answers.recordConfirmation(callStartedAt)
+        val newestKnown = maxOf(configuration?.version ?: return, newestReported)
+        if (shown != null && shown >= newestKnown) evidence.recordConfirmation(callStartedAt)
+    }
+
+    /** Records the newest version that other instances report at [now], null for none. */
+    fun recordReported(version: Long?, now: MonotonicTime) {
+        newestReported = version ?: 0
+        val isBehind = newestReported > (configuration?.version ?: 0)
+        behindSince = if (isBehind) behindSince ?: now else null
+    }
+
+    /**
+     * Returns the age at [now] of the evidence that the configuration is the newest. Returns null without evidence, and
+     * when other instances have had a newer version for longer than a change takes to reach this one.
+     */
+    fun evidenceAge(now: MonotonicTime): Duration? {
+        val isBehind = behindSince?.let { now - it > CATCH_UP_TIME } ?: false
+        return if (isBehind) null else evidence.age(now)
+    }
+
+    /** Whether there is evidence at [now] that is less than [limit] old. */
+    fun hasEvidence(limit: Duration, now: MonotonicTime): Boolean = evidenceAge(now)?.let { it < limit } ?: false
 
     /** Applies [offered] if it is newer than the current configuration. Returns whether it was applied. */
     fun offer(offered: ServingConfiguration): Boolean {
@@ -41,6 +75,11 @@
         )
         return true
     }
+
+    private companion object {
+        /** Several times what a change takes to reach all instances. */
+        val CATCH_UP_TIME = 500.milliseconds
+    }
 }
 
 /** The quotas of all organisations at this instance. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/FeedListeners.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/FeedListeners.kt
@@ -29,19 +29,23 @@
     override fun onRegained() = log.record(DecisionEvent.DependencyRegained("store: $feed"))
 }
 
-/** Applies configurations, and records every answer of the store as a confirmation of the newest one. */
+/** Applies configurations, and records which one the store shows with every answer. */
 internal class ConfigurationListener(
     private val currentConfiguration: CurrentConfiguration,
     private val quotas: QuotaTable,
     log: DecisionLog,
 ) : LoggedFeedListener<ServingConfiguration>("configuration", log) {
+    /** The version of the configuration in the store, or null if there is none that can be read. */
+    private var shownVersion: Long? = null
+
     override fun onListed(
         listing: Listing<ServingConfiguration>,
         callStartedAt: MonotonicTime,
         regainedAt: MonotonicTime?,
     ) {
+        shownVersion = null
         listing.entries.forEach { entry -> entry.value?.let(::apply) }
-        if (currentConfiguration.configuration != null) currentConfiguration.evidence.recordConfirmation(callStartedAt)
+        currentConfiguration.recordAnswer(shownVersion, callStartedAt)
     }
 
     override fun onChanged(
@@ -50,10 +54,11 @@
         regainedAt: MonotonicTime?,
     ) {
         events.filterIsInstance<FeedEvent.Changed<ServingConfiguration>>().forEach { it.entry.value?.let(::apply) }
-        currentConfiguration.evidence.recordConfirmation(callStartedAt)
+        currentConfiguration.recordAnswer(shownVersion, callStartedAt)
     }
 
     private fun apply(configuration: ServingConfiguration) {
+        shownVersion = configuration.version
         if (currentConfiguration.offer(configuration)) quotas.configure(configuration)
     }
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -90,16 +90,16 @@
         InstanceRecord(initial.addresses.exchange, initial.addresses.callers),
         log,
     )
+    private val peers = PeerTable(self, incarnation)
     private val currentConfiguration = CurrentConfiguration(log)
     private val quotas = QuotaTable(clock) { settings.bounds.quotaWindowSeconds.seconds }
-    private val peers = PeerTable(self, incarnation)
     private val turns =
         InstanceTurns(self, { peers.registered.keys }) { System.currentTimeMillis().milliseconds }
     private val endpoints = EndpointTable(::findCacheCapacity, turns) { endpoint, change ->
         if (change == EndpointChange.APPEARED || change == EndpointChange.GONE) connections.closeIdle(endpoint.address)
         log.record(DecisionEvent.EndpointChanged(endpoint, change))
     }
-    private val listCurrency = EndpointListCurrency(endpoints, currentConfiguration.evidence) {
+    private val listCurrency = EndpointListCurrency(endpoints, currentConfiguration.answers) {
         settings.bounds.departureMilliseconds.milliseconds
     }
     private val counts = WindowCounts(initial.bounds.usageWindow.inWholeMilliseconds)
@@ -286,6 +286,7 @@
             val now = clock.now()
             loopDelay.record(TASK_INTERVAL, now - sleepStartedAt)
             endpoints.removeLapsed(now)
+            currentConfiguration.recordReported(peers.newestConfiguration(now), now)
             crashGuard.update()
             quotas.updateMembers(peers.registered.keys)
             val isServing = currentConfiguration.configuration != null && listCurrency.isRecent(now)
@@ -304,10 +305,10 @@
     }
 
     private fun isReady(): Boolean = phase == InstancePhase.READY && !listCurrency.isBehind(clock.now()) &&
-        currentConfiguration.evidence.isYoungerThan(settings.bounds.revocationMilliseconds.milliseconds, clock.now())
+        currentConfiguration.hasEvidence(settings.bounds.revocationMilliseconds.milliseconds, clock.now())
 
     private fun listCallerAddresses(): List<String> {
-        val age = currentConfiguration.evidence.age(clock.now())?.inWholeMilliseconds
+        val age = currentConfiguration.evidenceAge(clock.now())?.inWholeMilliseconds
         return peers.callerAddresses(OwnAddress(settings.addresses.callers, isReady(), age), clock.now())
     }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
@@ -32,7 +32,7 @@
             currentConfiguration.configuration?.version?.toDouble() ?: 0.0
         }
         metrics.registerGauge("gateway_evidence_age_seconds") {
-            currentConfiguration.evidence.age(clock.now())?.let { it.inWholeMilliseconds / MILLISECONDS_PER_SECOND }
+            currentConfiguration.evidenceAge(clock.now())?.let { it.inWholeMilliseconds / MILLISECONDS_PER_SECOND }
                 ?: -1.0
         }
         metrics.registerGauge("gateway_endpoint_evidence_age_seconds") {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/ReportComposer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/ReportComposer.kt
@@ -50,7 +50,7 @@
             intervalMilliseconds = interval.inWholeMilliseconds,
             phase = phase,
             configurationVersion = currentConfiguration.configuration?.version ?: 0,
-            evidenceAgeMilliseconds = currentConfiguration.evidence.age(now)?.inWholeMilliseconds,
+            evidenceAgeMilliseconds = currentConfiguration.evidenceAge(now)?.inWholeMilliseconds,
             isDutyHolder = duties.isHolding,
             changingEngines = duties.changingEngines(),
             unreachableEndpoints = reports.nextUnreachableEndpoints(entries.endpoints),
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerTable.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerTable.kt
@@ -102,6 +102,9 @@
     fun dutyHolders(now: MonotonicTime): Set<InstanceId> =
         liveReports(now).filter { it.isDutyHolder }.map { it.instance }.toSet()
 
+    /** Returns the newest version of the configuration that a valid report names at [now], or null. */
+    fun newestConfiguration(now: MonotonicTime): Long? = liveReports(now).maxOfOrNull { it.configurationVersion }
+
     /** Returns the latest reports of the registered instances whose report is still valid at [now]. */
     fun liveReports(now: MonotonicTime): List<PeerReport> =
         reports.values.filter {
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/forwarding/AdmissionSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/forwarding/AdmissionSpec.kt
@@ -37,7 +37,7 @@
         currentConfiguration.offer(
             configurationOf(routeOf("private", "/a/"), routeOf("open", "/open/", isPublic = true)),
         )
-        currentConfiguration.evidence.recordConfirmation(clock.now())
+        currentConfiguration.recordAnswer(shown = 1, clock.now())
     }
 
     @Nested
