Report a usage window only if its counts cannot have been lost

The counts of a window are fixed by a write that the store could forget when it returned from an older copy; another holder then fixed other counts for a window that had been reported. A window that may have been closed in an earlier era is now reported only by an instance that has its counts, or when the store still has them. Reports tell for how long an era has lasted, so that an instance that has just started does not take it for new.

UsageReporterSpec failed before in two cases: other counts were stored, and the holder repeated a report with other counts.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/UsageReporter.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/UsageReporter.kt
@@ -7,10 +7,12 @@
 import org.nutmegspring.node.control.TypedObjectStore
 import org.nutmegspring.platform.ObjectKey
 import org.nutmegspring.platform.ObjectStore
+import org.nutmegspring.platform.StoreEra
 import org.nutmegspring.platform.StoreFailure
 import org.nutmegspring.platform.WriteCondition
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** The final request counts of one usage window, as stored. */
 @Serializable
@@ -20,21 +22,28 @@
  * Reports usage while this instance holds the duties.
  *
  * The counts of a window are stored by a create-only write before they are sent, so that any instance that reports the
- * window again sends the same counts.
+ * window again sends the same counts. A store that returns from an older copy may have lost them. A window whose counts
+ * may have been stored in an earlier era is therefore reported only if this instance or the store still has them.
  *
+ * @param eraAge returns for how long at least the era of the store has lasted, null before its first answer
  * @param countRequests returns the requests of each organisation in a window, over all instances
  * @param propagationTime returns the time within which the counts of the other instances reach this one
  * @param reportDeadline the time after the end of a window within which it has to be reported
  */
 class UsageReporter(
     private val caller: DutyCaller,
-    store: ObjectStore,
+    private val store: ObjectStore,
+    private val eraAge: () -> Duration?,
     private val countRequests: (Long) -> Map<OrganisationId, Long>,
     private val propagationTime: () -> Duration,
     private val windowLength: Duration,
     private val reportDeadline: Duration,
     private val wallClockMilliseconds: () -> Long,
+    private val onSkipped: (Long) -> Unit,
 ) {
+    private class FixedCounts(val closed: ClosedWindow, val era: StoreEra?)
+
+    private val fixedCounts = sortedMapOf<Long, FixedCounts>()
     private val windows = TypedObjectStore(store, ClosedWindow.serializer())
     private val maximumSettlingTime = maxOf(MINIMUM_SETTLING_TIME, reportDeadline / 2)
     private var nextWindow = 0L
@@ -60,22 +69,71 @@
         }
     }
 
-    /** Reports [window]. Returns whether the platform accepted the report. */
-    private suspend fun report(window: Long): Boolean {
-        val closed = fixCounts(window) ?: return false
-        return caller.call("usage", "window $window ${closed.counts}") { holder, timeout ->
-            reportUsage(window, closed.counts, holder, timeout)
+    /** Reports [window]. Returns whether it is done with: the platform accepted the report, or there can be none. */
+    private suspend fun report(window: Long): Boolean = when (val counts = fixCounts(window)) {
+        is Counts.Fixed -> {
+            caller.call("usage", "window $window ${counts.closed.counts}") { holder, timeout ->
+                reportUsage(window, counts.closed.counts, holder, timeout)
+            }
+        }
+
+        Counts.Lost -> {
+            onSkipped(window)
+            true
+        }
+
+        Counts.Unavailable -> {
+            false
         }
     }
 
-    /** Stores the counts of [window], or returns those stored before. Returns null when neither is possible. */
-    private suspend fun fixCounts(window: Long): ClosedWindow? {
+    private sealed interface Counts {
+        class Fixed(val closed: ClosedWindow) : Counts
+
+        /** Counts may have been reported that neither this instance nor the store has. */
+        data object Lost : Counts
+
+        data object Unavailable : Counts
+    }
+
+    /** Stores the counts of [window], or returns those stored before. */
+    private suspend fun fixCounts(window: Long): Counts {
+        val era = store.era
+        val known = fixedCounts[window]
+        if (known != null && known.era == era) return Counts.Fixed(known.closed)
         val key = ObjectKey("usage/window-$window")
-        val closed = ClosedWindow(countRequests(window))
-        return when (val result = windows.write(key, closed, WriteCondition.Absent)) {
-            is Either.Right -> closed
+        val closed = when {
+            known != null -> {
+                store(key, known.closed)
+            }
+
+            wasClosedInEarlierEra(window) -> {
+                windows.read(key).fold({ null }, { it ?: return Counts.Lost })?.value
+            }
+
+            else -> {
+                store(key, ClosedWindow(countRequests(window)))
+            }
+        } ?: return Counts.Unavailable
+        fixedCounts[window] = FixedCounts(closed, era)
+        while (fixedCounts.size > MAXIMUM_FIXED_WINDOWS) fixedCounts.remove(fixedCounts.firstKey())
+        return Counts.Fixed(closed)
+    }
+
+    /** Creates the object at [key] with [counts]. Returns what it holds then, or null if that is not known. */
+    private suspend fun store(key: ObjectKey, counts: ClosedWindow): ClosedWindow? =
+        when (val result = windows.write(key, counts, WriteCondition.Absent)) {
+            is Either.Right -> counts
             is Either.Left -> decodeExisting(result.value)
         }
+
+    /** Whether another instance may have stored the counts of [window] in an era whose last writes may be lost. */
+    private fun wasClosedInEarlierEra(window: Long): Boolean {
+        val age = eraAge()
+        if (store.era == StoreEra.FIRST || age == null) return false
+        val earliestClose = (window + 1) * windowLength.inWholeMilliseconds + MINIMUM_SETTLING_TIME.inWholeMilliseconds
+        val eraSeenAt = wallClockMilliseconds() - age.inWholeMilliseconds
+        return earliestClose - MAXIMUM_CLOCK_OFFSET.inWholeMilliseconds <= eraSeenAt
     }
 
     private fun decodeExisting(failure: StoreFailure): ClosedWindow? {
@@ -88,5 +146,9 @@
 
         /** Longer than the offsets between the clocks of instances. */
         val MINIMUM_SETTLING_TIME = 2500.milliseconds
+        val MAXIMUM_CLOCK_OFFSET = 1.seconds
+
+        /** More than the windows between an era and the deadline of their reports. */
+        const val MAXIMUM_FIXED_WINDOWS = 16
     }
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -78,7 +78,8 @@
     private val incarnation = Incarnation(random.nextLong())
     private val startedAtMilliseconds = System.currentTimeMillis()
     private val connections = EndpointConnections(loop, clock, CONNECT_TIMEOUT)
-    private val history = StoreHistory { previous, era -> log.record(DecisionEvent.StoreRestored(previous, era)) }
+    private val history =
+        StoreHistory(clock) { previous, era -> log.record(DecisionEvent.StoreRestored(previous, era)) }
     private val platform = platformFactory(connections, initial.platform, history) {
         log.record(DecisionEvent.Skipped("an object of the store", it))
     }
@@ -121,13 +122,14 @@
             readyPeers = { peers.readyInstances(clock.now()) },
             services = { currentConfiguration.configuration?.services?.values.orEmpty() },
             propagationTime = { exchange.interval * PROPAGATION_INTERVALS },
+            storeEraAge = history::age,
             countRequests = ::sumRequests,
             endpoints = endpoints,
         ),
         clock,
         log,
     )
-    private val reports = PeerReports(self, peers, quotas, endpoints, crashGuard, limits, clock)
+    private val reports = PeerReports(self, peers, quotas, endpoints, crashGuard, limits, history, clock)
 
     private val pacing = ReportPacing(initial.instance.linkMegabitsPerSecond)
     private val composer = ReportComposer(
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceDuties.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceDuties.kt
@@ -36,6 +36,7 @@
  *
  * @property readyPeers the other instances that can take over the duties
  * @property propagationTime time within which the reports of this instance reach the others
+ * @property storeEraAge for how long at least the era of the store has lasted, null before its first answer
  * @property countRequests returns the number of requests of each organisation in a usage window, over all instances
  */
 internal class DutyInputs(
@@ -43,6 +44,7 @@
     val readyPeers: () -> Set<InstanceId>,
     val services: () -> Collection<ServiceDefinition>,
     val propagationTime: () -> Duration,
+    val storeEraAge: () -> Duration?,
     val countRequests: (Long) -> Map<OrganisationId, Long>,
     val endpoints: EndpointTable,
 )
@@ -98,11 +100,17 @@
     private fun createUsageReporter() = UsageReporter(
         caller = caller,
         store = platform.store,
+        eraAge = inputs.storeEraAge,
         countRequests = inputs.countRequests,
         propagationTime = inputs.propagationTime,
         windowLength = settings.bounds.usageWindow,
         reportDeadline = settings.bounds.usageReportSeconds.seconds,
         wallClockMilliseconds = System::currentTimeMillis,
+        onSkipped = { window ->
+            log.record(
+                DecisionEvent.Skipped("usage window $window", "its counts may be lost with the store's last writes"),
+            )
+        },
     )
 
     private fun activeLease(): HeldLease? {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
@@ -9,10 +9,13 @@
 import org.nutmegspring.gateway.peers.PeerReport
 import org.nutmegspring.gateway.peers.PeerTable
 import org.nutmegspring.gateway.peers.PromptPartEntry
+import org.nutmegspring.gateway.store.StoreHistory
 import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.placement.PromptPart
+import org.nutmegspring.platform.StoreEra
 import org.nutmegspring.time.MonotonicClock
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -24,6 +27,7 @@
     private val endpoints: EndpointTable,
     private val crashGuard: CrashGuard,
     private val limits: EndpointLimits,
+    private val history: StoreHistory,
     private val clock: MonotonicClock,
 ) {
     private var nextUnreachable = 0
@@ -34,6 +38,7 @@
         val now = clock.now()
         if (report.instance == self || !peers.recordReport(report, now)) return
         quotas.recordPeerReport(report)
+        history.recordReported(StoreEra(report.storeEra), report.storeEraAgeMilliseconds.milliseconds)
         val lifetime = report.lifetime(LOAD_LIFETIME, LOAD_LIFETIME_INTERVALS)
         val avoidanceEnd = now + report.lifetime(AVOIDANCE_LIFETIME)
         report.loads.forEach {
@@ -54,6 +59,12 @@
         }
     }
 
+    /** The era of the store. */
+    val storeEra: StoreEra get() = history.era.value ?: StoreEra.FIRST
+
+    /** Returns for how long at least the era has lasted; zero in the first one, which has no beginning. */
+    fun storeEraAge(): Duration = history.age()?.takeIf { storeEra != StoreEra.FIRST } ?: Duration.ZERO
+
     /**
      * Returns the endpoints that do not answer this instance. If most endpoints of a service do not, the fault is
      * more likely on this side, and none of them is reported.
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/ReportComposer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/ReportComposer.kt
@@ -59,6 +59,8 @@
             prefills = engineChoice.drainPrefillReports(entries.prefills),
             limits = reports.nextLimits(entries.limits),
             promptParts = reports.nextPromptParts(entries.promptParts),
+            storeEra = reports.storeEra.value,
+            storeEraAgeMilliseconds = reports.storeEraAge().inWholeMilliseconds,
         )
         val usageReaders = if (isUsageDue(now)) peers.dutyHolders(now) + duties.participants() else emptySet()
         val (readers, others) = peers.registered.entries.partition { it.key in usageReaders }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
@@ -82,6 +82,8 @@
  * @property windows counts of requests; only instances that take part in the duties receive them
  * @property promptParts prompt parts under which engines crashed, told again until they expire
  * @property limits the limits that endpoints named, and those that they have lifted lately
+ * @property storeEra the era of the platform's store
+ * @property storeEraAgeMilliseconds for how long the sender knows that this era has lasted
  * @property endedProcesses counts of processes that recently stopped reporting, for instances that started afterwards
  */
 @OptIn(ExperimentalSerializationApi::class)
@@ -105,6 +107,8 @@
     @CborLabel(16) val endedProcesses: List<EndedProcessReport> = emptyList(),
     @CborLabel(17) val promptParts: List<PromptPartEntry> = emptyList(),
     @CborLabel(18) val limits: List<EndpointLimitReport> = emptyList(),
+    @CborLabel(19) val storeEra: Long = 0,
+    @CborLabel(20) val storeEraAgeMilliseconds: Long = 0,
 ) {
     /**
      * Returns how long the report is valid: at least [minimum], and [intervals] times the interval between reports. By
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/UsageReporterSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/UsageReporterSpec.kt
@@ -12,6 +12,7 @@
 import org.nutmegspring.platform.ObjectKey
 import org.nutmegspring.platform.ObjectStore
 import org.nutmegspring.platform.ObjectVersion
+import org.nutmegspring.platform.StoreEra
 import org.nutmegspring.platform.StoreFailure
 import org.nutmegspring.platform.VersionedObject
 import org.nutmegspring.platform.WriteCondition
@@ -19,6 +20,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 @OptIn(ExperimentalCoroutinesApi::class)
@@ -27,11 +29,19 @@
     private val store = CreateOnlyStore()
     private val calls = RecordedDutyCalls()
     private val reports = calls.reports
+    private val skipped = mutableListOf<Long>()
     private var isHeld = true
+    private var eraSeenAt = Long.MIN_VALUE / 2
 
     /** A store in which each object can only be created, never changed. */
     private class CreateOnlyStore : ObjectStore {
-        private val objects = HashMap<ObjectKey, VersionedObject>()
+        val objects = HashMap<ObjectKey, VersionedObject>()
+        override var era = StoreEra(1)
+
+        fun restoreEmpty() {
+            objects.clear()
+            era = StoreEra(era.value + 1)
+        }
 
         override suspend fun read(key: ObjectKey): Either<StoreFailure, VersionedObject?> = objects[key].right()
 
@@ -59,15 +69,20 @@
     }
 
     /** Starts a reporter that counts [count] requests in every window. */
-    private fun TestScope.start(count: Long) {
+    private fun TestScope.start(count: Long) = start { count }
+
+    /** Starts a reporter that counts what [count] returns in every window. */
+    private fun TestScope.start(count: () -> Long) {
         val reporter = UsageReporter(
             caller = dutyCaller(calls) { isHeld },
             store = store,
-            countRequests = { mapOf(theatre to count) },
+            eraAge = { (testScheduler.currentTime - eraSeenAt).milliseconds },
+            countRequests = { mapOf(theatre to count()) },
             propagationTime = { Duration.ZERO },
             windowLength = 5.seconds,
             reportDeadline = 10.seconds,
             wallClockMilliseconds = { 100_000 + testScheduler.currentTime },
+            onSkipped = { skipped += it },
         )
         backgroundScope.launch { reporter.run() }
     }
@@ -120,4 +135,50 @@
             assertEquals(emptyList(), reports)
         }
     }
+
+    @Nested
+    inner class `when the store has returned from an older copy` {
+        private fun TestScope.restore() {
+            store.restoreEmpty()
+            eraSeenAt = testScheduler.currentTime
+        }
+
+        @Test
+        fun `another instance does not report other counts for a window that may have been reported`() = runTest {
+            start(count = 3)
+            testScheduler.advanceTimeBy(8.seconds)
+            val before = reports.toList()
+            isHeld = false
+            restore()
+            isHeld = true
+            start(count = 8)
+            testScheduler.advanceTimeBy(1.seconds)
+            assertTrue(skipped.isNotEmpty() && before.map { it.first }.containsAll(skipped), "$skipped of $before")
+            assertTrue(reports.groupBy({ it.first }, { it.second }).values.all { it.distinct().size == 1 }, "$reports")
+        }
+
+        @Test
+        fun `the instance that fixed the counts stores them again before it repeats the report`() = runTest {
+            var count = 3L
+            calls.isAnswering = false
+            start { count }
+            testScheduler.advanceTimeBy(8.seconds)
+            restore()
+            count = 8
+            reports.clear()
+            calls.isAnswering = true
+            testScheduler.advanceTimeBy(1.seconds)
+            val (window, counts) = reports.first()
+            assertEquals(mapOf(theatre to 3L), counts)
+            assertTrue(ObjectKey("usage/window-$window") in store.objects)
+        }
+
+        @Test
+        fun `windows that are closed afterwards are reported`() = runTest {
+            restore()
+            start(count = 3)
+            testScheduler.advanceTimeBy(30.seconds)
+            assertTrue((22L..24L).all { window -> reports.any { it.first == window } }, "$reports")
+        }
+    }
 }
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/instance/PeerReportsSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/instance/PeerReportsSpec.kt
@@ -17,6 +17,7 @@
 import org.nutmegspring.gateway.store.FeedEntry
 import org.nutmegspring.gateway.store.FeedPosition
 import org.nutmegspring.gateway.store.Listing
+import org.nutmegspring.gateway.store.StoreHistory
 import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.identity.Incarnation
 import org.nutmegspring.identity.InstanceId
@@ -43,6 +44,7 @@
             table,
             crashGuard,
             EndpointLimits(table, clock) { },
+            StoreHistory(clock) { _, _ -> },
             clock,
         )
     private val service = endpointOf("any").service
