Keep the evidence of an instance that is cut off from the store while others move on

A newer version that another instance reports does not make earlier evidence false: the answer was true when it was given. It is false only if the store itself goes on to show the older version, as one that has returned from an older copy does. Also named more plainly: the outcomes of fixing the counts of a window, and the framing of an answer.

--- a/decisions/src/main/kotlin/org/nutmegspring/currency/FreshnessEvidence.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/currency/FreshnessEvidence.kt
@@ -18,6 +18,11 @@
         if (last == null || callStartedAt > last) confirmedAt = callStartedAt
     }
 
+    /** Forgets all confirmations, which turned out to be of an older state. */
+    fun clear() {
+        confirmedAt = null
+    }
+
     /** Returns the age of the last confirmation at [now], or null when there is none. */
     fun age(now: MonotonicTime): Duration? = confirmedAt?.let { now - it }
 
--- a/decisions/src/main/kotlin/org/nutmegspring/lease/LeaseState.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/lease/LeaseState.kt
@@ -60,7 +60,7 @@
  * @property lastSequence the sequence number of the last write of this process
  * @property era the era of the store to which [seen], [held] and [unresolved] belong
  * @property inherited the lease that this process held when [era] began
- * @property freeAt when an absent lease is free, since all of earlier eras have expired; null before it was read
+ * @property freeAt when an absent lease may be taken: the leases of earlier eras have expired; null if none is known
  */
 data class LeaseState(
     val self: LeaseHolder,
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/UsageReporter.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/UsageReporter.kt
@@ -29,6 +29,7 @@
  * @param countRequests returns the requests of each organisation in a window, over all instances
  * @param propagationTime returns the time within which the counts of the other instances reach this one
  * @param reportDeadline the time after the end of a window within which it has to be reported
+ * @param onSkipped called with a window that is not reported, since its counts may be lost
  */
 class UsageReporter(
     private val caller: DutyCaller,
@@ -71,36 +72,38 @@
 
     /** Reports [window]. Returns whether it is done with: the platform accepted the report, or there can be none. */
     private suspend fun report(window: Long): Boolean = when (val counts = fixCounts(window)) {
-        is Counts.Fixed -> {
+        is FixResult.Fixed -> {
             caller.call("usage", "window $window ${counts.closed.counts}") { holder, timeout ->
                 reportUsage(window, counts.closed.counts, holder, timeout)
             }
         }
 
-        Counts.Lost -> {
+        FixResult.Lost -> {
             onSkipped(window)
             true
         }
 
-        Counts.Unavailable -> {
+        FixResult.Unavailable -> {
             false
         }
     }
 
-    private sealed interface Counts {
-        class Fixed(val closed: ClosedWindow) : Counts
+    /** What came of fixing the counts of a window. */
+    private sealed interface FixResult {
+        class Fixed(val closed: ClosedWindow) : FixResult
 
         /** Counts may have been reported that neither this instance nor the store has. */
-        data object Lost : Counts
+        data object Lost : FixResult
 
-        data object Unavailable : Counts
+        /** The store did not answer. */
+        data object Unavailable : FixResult
     }
 
     /** Stores the counts of [window], or returns those stored before. */
-    private suspend fun fixCounts(window: Long): Counts {
+    private suspend fun fixCounts(window: Long): FixResult {
         val era = store.era
         val known = fixedCounts[window]
-        if (known != null && known.era == era) return Counts.Fixed(known.closed)
+        if (known != null && known.era == era) return FixResult.Fixed(known.closed)
         val key = ObjectKey("usage/window-$window")
         val closed = when {
             known != null -> {
@@ -108,16 +111,16 @@
             }
 
             wasClosedInEarlierEra(window) -> {
-                windows.read(key).fold({ null }, { it ?: return Counts.Lost })?.value
+                windows.read(key).fold({ null }, { it ?: return FixResult.Lost })?.value
             }
 
             else -> {
                 store(key, ClosedWindow(countRequests(window)))
             }
-        } ?: return Counts.Unavailable
+        } ?: return FixResult.Unavailable
         fixedCounts[window] = FixedCounts(closed, era)
         while (fixedCounts.size > MAXIMUM_FIXED_WINDOWS) fixedCounts.remove(fixedCounts.firstKey())
-        return Counts.Fixed(closed)
+        return FixResult.Fixed(closed)
     }
 
     /** Creates the object at [key] with [counts]. Returns what it holds then, or null if that is not known. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
@@ -27,20 +27,17 @@
     /** What marks the end of the body. */
     val framing: BodyFraming
         get() = when {
-            headers.containsValue(
-                HttpHeaderNames.TRANSFER_ENCODING,
-                HttpHeaderValues.CHUNKED,
-                true,
-            ) -> BodyFraming.CHUNKED
-
+            isChunked() -> BodyFraming.CHUNKED
             headers.contains(HttpHeaderNames.CONTENT_LENGTH) -> BodyFraming.LENGTH
-
             else -> BodyFraming.CONNECTION
         }
 
     /** Whether the status means that the request did not run; not trusted without proof from the endpoint. */
     val isNotRunStatus: Boolean get() = status in NOT_RUN_STATUSES
 
+    private fun isChunked() =
+        headers.containsValue(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED, true)
+
     private companion object {
         val SUCCESS = 200..299
         val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
@@ -33,12 +33,17 @@
 
     /**
      * Records that a call that began at [callStartedAt] was answered, and that the store shows version [shown], null
-     * for none. This is no evidence while the store shows an older version than one known to any instance.
+     * for none. This is no evidence while the store shows an older version than one known to any instance. If it goes
+     * on to show the version of this instance when others have a newer one, earlier answers were no evidence either.
      */
     fun recordAnswer(shown: Long?, callStartedAt: MonotonicTime) {
         answers.recordConfirmation(callStartedAt)
         val newestKnown = maxOf(configuration?.version ?: return, newestReported)
-        if (shown != null && shown >= newestKnown) evidence.recordConfirmation(callStartedAt)
+        val isLeftBehind = behindSince?.let { callStartedAt - it > CATCH_UP_TIME } ?: false
+        when {
+            shown != null && shown >= newestKnown -> evidence.recordConfirmation(callStartedAt)
+            isLeftBehind -> evidence.clear()
+        }
     }
 
     /** Records the newest version that other instances report at [now], null for none. */
@@ -48,17 +53,11 @@
         behindSince = if (isBehind) behindSince ?: now else null
     }
 
-    /**
-     * Returns the age at [now] of the evidence that the configuration is the newest. Returns null without evidence, and
-     * when other instances have had a newer version for longer than a change takes to reach this one.
-     */
-    fun evidenceAge(now: MonotonicTime): Duration? {
-        val isBehind = behindSince?.let { now - it > CATCH_UP_TIME } ?: false
-        return if (isBehind) null else evidence.age(now)
-    }
+    /** Returns the age at [now] of the evidence that the configuration is the newest, or null without evidence. */
+    fun evidenceAge(now: MonotonicTime): Duration? = evidence.age(now)
 
     /** Whether there is evidence at [now] that is less than [limit] old. */
-    fun hasEvidence(limit: Duration, now: MonotonicTime): Boolean = evidenceAge(now)?.let { it < limit } ?: false
+    fun hasEvidence(limit: Duration, now: MonotonicTime): Boolean = evidence.isYoungerThan(limit, now)
 
     /** Applies [offered] if it is newer than the current configuration. Returns whether it was applied. */
     fun offer(offered: ServingConfiguration): Boolean {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -91,9 +91,9 @@
         InstanceRecord(initial.addresses.exchange, initial.addresses.callers),
         log,
     )
-    private val peers = PeerTable(self, incarnation)
     private val currentConfiguration = CurrentConfiguration(log)
     private val quotas = QuotaTable(clock) { settings.bounds.quotaWindowSeconds.seconds }
+    private val peers = PeerTable(self, incarnation)
     private val turns =
         InstanceTurns(self, { peers.registered.keys }) { System.currentTimeMillis().milliseconds }
     private val endpoints = EndpointTable(::findCacheCapacity, turns) { endpoint, change ->
