Let the holder of the duties report the window that it was about to close

Nobody else can have stored the counts of a window that is closed while this instance holds the duties, also when the store returns from an older copy at that time. UsageReporterSpec failed before.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/UsageReporter.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/UsageReporter.kt
@@ -48,12 +48,14 @@
     private val windows = TypedObjectStore(store, ClosedWindow.serializer())
     private val maximumSettlingTime = maxOf(MINIMUM_SETTLING_TIME, reportDeadline / 2)
     private var nextWindow = 0L
+    private var heldSince: Long? = null
 
     /** Reports windows until the coroutine is cancelled. */
     suspend fun run(): Nothing {
         while (true) {
             delay(CHECK_INTERVAL)
-            if (caller.isHolding) reportDueWindows()
+            heldSince = if (caller.isHolding) heldSince ?: wallClockMilliseconds() else null
+            if (heldSince != null) reportDueWindows()
         }
     }
 
@@ -110,7 +112,7 @@
                 store(key, known.closed)
             }
 
-            wasClosedInEarlierEra(window) -> {
+            mayBeClosedInEarlierEra(window) -> {
                 windows.read(key).fold({ null }, { it ?: return FixResult.Lost })?.value
             }
 
@@ -130,13 +132,17 @@
             is Either.Left -> decodeExisting(result.value)
         }
 
-    /** Whether another instance may have stored the counts of [window] in an era whose last writes may be lost. */
-    private fun wasClosedInEarlierEra(window: Long): Boolean {
+    /**
+     * Whether another instance may have stored the counts of [window] in an era whose last writes may be lost. It can
+     * not have done so while this one held the duties.
+     */
+    private fun mayBeClosedInEarlierEra(window: Long): Boolean {
         val age = eraAge()
         if (store.era == StoreEra.FIRST || age == null) return false
-        val earliestClose = (window + 1) * windowLength.inWholeMilliseconds + MINIMUM_SETTLING_TIME.inWholeMilliseconds
-        val eraSeenAt = wallClockMilliseconds() - age.inWholeMilliseconds
-        return earliestClose - MAXIMUM_CLOCK_OFFSET.inWholeMilliseconds <= eraSeenAt
+        val settledAt = (window + 1) * windowLength.inWholeMilliseconds + MINIMUM_SETTLING_TIME.inWholeMilliseconds
+        val earliestClose = settledAt - MAXIMUM_CLOCK_OFFSET.inWholeMilliseconds
+        val isOwnToClose = heldSince?.let { it <= earliestClose } ?: false
+        return !isOwnToClose && earliestClose <= wallClockMilliseconds() - age.inWholeMilliseconds
     }
 
     private fun decodeExisting(failure: StoreFailure): ClosedWindow? {
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/UsageReporterSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/UsageReporterSpec.kt
@@ -173,6 +173,17 @@
             assertTrue(ObjectKey("usage/window-$window") in store.objects)
         }
 
+        @Test
+        fun `the instance that holds the duties reports the window that it was about to close`() = runTest {
+            start(count = 3)
+            testScheduler.advanceTimeBy(12.seconds)
+            reports.clear()
+            restore()
+            testScheduler.advanceTimeBy(6.seconds)
+            assertEquals(emptyList(), skipped)
+            assertTrue(reports.isNotEmpty())
+        }
+
         @Test
         fun `windows that are closed afterwards are reported`() = runTest {
             restore()
