--- a/decisions/src/main/kotlin/org/nutmegspring/lease/LeaseState.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/lease/LeaseState.kt
@@ -60,7 +60,8 @@
  * @property lastSequence the sequence number of the last write of this process
  * @property era the era of the store to which [seen], [held] and [unresolved] belong
  * @property inherited the lease that this process held when [era] began
- * @property freeAt when an absent lease may be taken: the leases of earlier eras have expired; null if none is known
+ * @property freeAt the earliest time at which this process may take the lease while it is absent, or null before it was
+ * first found absent; in a new era, this is when the leases of earlier ones have expired
  */
 data class LeaseState(
     val self: LeaseHolder,
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayStart.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayStart.kt
@@ -7,7 +7,7 @@
 import org.nutmegspring.gateway.store.PlatformPorts
 import org.nutmegspring.gateway.store.StoreHistory
 
-/** Creates the platform's ports from connections, settings, the history of the store and a callback for bad objects. */
+/** Creates the platform's ports from connections, settings, the store's history and a handler of unreadable objects. */
 typealias PlatformFactory = (EndpointConnections, PlatformSettings, StoreHistory, (String) -> Unit) -> PlatformPorts
 
 /**
