Report settings that lack several sections as a problem

Cause: the decoder of settings caught the parser's own exceptions only. With two or more sections missing, kotlinx's MissingFieldException passed through it, and a file that was read while it was being written ended the process, on a reload as at its start. Change: the missing sections are one problem that names them; any other unreadable text is a problem as well. Measured: GatewaySettingsLoaderSpec, 'every beginning of it is reported as a problem' and 'all sections that are missing are reported by name', failed with MissingFieldException before the change.

--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/settings/GatewaySettingsLoaderSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/settings/GatewaySettingsLoaderSpec.kt
@@ -44,6 +44,21 @@
         }
     }
 
+    @Nested
+    inner class `given a file that is read while it is being written` {
+        @Test
+        fun `every beginning of it is reported as a problem`() {
+            val lengths = 0 until valid.length - "addressKeepSeconds: 5".length
+            lengths.forEach { length -> assertTrue(problems(valid.take(length)).isNotEmpty(), "length $length") }
+        }
+
+        @Test
+        fun `all sections that are missing are reported by name`() {
+            val found = problems(valid.substringBefore("addresses:")).single()
+            assertTrue(listOf("addresses", "platform", "bounds").all { it in found }, found)
+        }
+    }
+
     @Nested
     inner class `given invalid settings` {
         @Test
--- a/node/src/main/kotlin/org/nutmegspring/node/settings/SettingsDecoder.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/settings/SettingsDecoder.kt
@@ -9,6 +9,9 @@
 import com.charleskorn.kaml.YamlException
 import com.charleskorn.kaml.YamlNode
 import kotlinx.serialization.DeserializationStrategy
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.MissingFieldException
+import kotlinx.serialization.SerializationException
 
 /**
  * Decodes the settings in [text], or returns the first problem found.
@@ -16,6 +19,7 @@
  * @param name the file name to report in problems
  * @param applyDefaults merges defaults into the parsed file
  */
+@OptIn(ExperimentalSerializationApi::class)
 fun <T> decodeSettings(
     deserializer: DeserializationStrategy<T>,
     name: String,
@@ -28,6 +32,10 @@
     val innermost = generateSequence(malformed) { it.cause as? YamlException }.last()
     val path = innermost.path.toHumanReadableString().ifEmpty { "settings" }
     SettingsProblem(name, innermost.line, path, describe(innermost)).left()
+} catch (incomplete: MissingFieldException) {
+    SettingsProblem(name, null, "settings", "${incomplete.missingFields.joinToString { "'$it'" }} are missing").left()
+} catch (malformed: SerializationException) {
+    SettingsProblem(name, null, "settings", malformed.message.orEmpty()).left()
 }
 
 private fun describe(cause: YamlException): String = when (cause) {
