--- a/command-line/src/main/kotlin/org/nutmegspring/commandline/CommandProvider.kt
+++ b/command-line/src/main/kotlin/org/nutmegspring/commandline/CommandProvider.kt
@@ -15,6 +15,7 @@
     fun commands(context: CommandContext): List<Subcommand> = listOf(
         ServeCommand(context),
         GatewayCommand(context),
+        RehearseCommand(context),
         CheckCommand(context),
         ExplainCommand(context),
         AdminCommand(context),
