Let most instances ask relays whether the store has news

Cause: each instance waited at the store for each feed by itself, some two calls a second whether or not anything changed, and woke for each record of each starting instance. Change: a few instances, ranked by hash, wait at the store; the others ask them every 400 ms and call the store only for changes. A statement is dated by the question and the age at the relay, so that evidence never appears younger than it is. Without an answer, or with one that is too old, an instance waits at the store as before. Records of instances are fetched at most every two seconds.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnections.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnections.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.util.NetUtil
 import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlinx.coroutines.withTimeoutOrNull
@@ -23,6 +24,7 @@
 import org.nutmegspring.time.MonotonicClock
 import java.io.ByteArrayOutputStream
 import java.net.ConnectException
+import java.net.InetAddress
 import java.net.InetSocketAddress
 import kotlin.coroutines.resume
 import kotlin.time.Duration
@@ -153,7 +155,8 @@
 
     /** Tells whether a process accepts connections at [address], by opening one that carries no request. */
     suspend fun probe(address: String): ConnectionProbe {
-        val future = bootstrap(EndpointConnection(clock) { it.close() }).connect(socketAddress(address))
+        val target = parseSocketAddress(address) ?: return ConnectionProbe.UNANSWERED
+        val future = bootstrap(EndpointConnection(clock) { it.close() }).connect(target)
         openedCount++
         val channel = future.awaitChannel()
         channel?.close()
@@ -182,8 +185,10 @@
     }
 
     private suspend fun connect(address: String): Either<Failure, EndpointConnection> {
+        val target = parseSocketAddress(address)
+            ?: return Failure(Step.CONNECT, Peer(address), Effect.NOT_RUN, "no IP address with a port").left()
         val connection = EndpointConnection(clock) { addIdle(address, it) }
-        val future = bootstrap(connection).connect(socketAddress(address))
+        val future = bootstrap(connection).connect(target)
         openedCount++
         val channel = future.awaitChannel()
         return if (channel != null) {
@@ -219,12 +224,27 @@
     }
 }
 
-/** Parses [address], `host:port`. The host is expected to be an IP address; a name would block on DNS. */
-internal fun socketAddress(address: String): InetSocketAddress {
+/**
+ * Parses [address], `host:port` with an IP address as the host; a name would block on DNS.
+ *
+ * @throws IllegalArgumentException if it is none
+ */
+internal fun socketAddress(address: String): InetSocketAddress =
+    requireNotNull(parseSocketAddress(address)) { "'$address' is no IP address with a port" }
+
+/** Returns [address], `host:port`, parsed, or null unless it is an IP address with a port from 1 to 65535, or 0. */
+internal fun parseSocketAddress(address: String): InetSocketAddress? {
     val separator = address.lastIndexOf(':')
-    return InetSocketAddress(address.substring(0, separator), address.substring(separator + 1).toInt())
+    if (separator < 0) return null
+    val port = address.substring(separator + 1).toIntOrNull()?.takeIf { it in PORTS } ?: return null
+    val host = address.substring(0, separator).removeSurrounding("[", "]")
+    val bytes = NetUtil.createByteArrayFromIpAddressString(host) ?: return null
+    return InetSocketAddress(InetAddress.getByAddress(bytes), port)
 }
 
+/** Port 0 lets the system choose one for a server. */
+private val PORTS = 0..65_535
+
 private suspend fun ChannelFuture.awaitChannel(): Channel? = suspendCancellableCoroutine { continuation ->
     addListener { outcome ->
         val opened = channel().takeIf { outcome.isSuccess }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -36,15 +36,16 @@
 import org.nutmegspring.gateway.observe.EventLoopDelay
 import org.nutmegspring.gateway.observe.GatewayMetrics
 import org.nutmegspring.gateway.peers.AddressedReport
+import org.nutmegspring.gateway.peers.FeedAnswer
+import org.nutmegspring.gateway.peers.FeedQuestion
 import org.nutmegspring.gateway.peers.InstanceRecord
 import org.nutmegspring.gateway.peers.OwnAddress
 import org.nutmegspring.gateway.peers.PeerExchange
+import org.nutmegspring.gateway.peers.PeerReceiver
+import org.nutmegspring.gateway.peers.PeerReport
 import org.nutmegspring.gateway.peers.PeerTable
 import org.nutmegspring.gateway.peers.ReportPacing
 import org.nutmegspring.gateway.settings.GatewaySettings
-import org.nutmegspring.gateway.store.FeedFollower
-import org.nutmegspring.gateway.store.FeedListener
-import org.nutmegspring.gateway.store.StoreFeed
 import org.nutmegspring.gateway.store.StoreHistory
 import org.nutmegspring.identity.Incarnation
 import org.nutmegspring.identity.OrganisationId
@@ -88,7 +89,7 @@
     private val registration = InstanceRegistration(
         platform.store,
         self,
-        InstanceRecord(initial.addresses.exchange, initial.addresses.callers),
+        InstanceRecord(initial.addresses.exchange, initial.addresses.callers, initial.instance.dataCentre),
         log,
     )
     private val currentConfiguration = CurrentConfiguration(log)
@@ -146,10 +147,12 @@
         clock,
     )
     private val exchange: PeerExchange by lazy {
-        PeerExchange(loop, settings.addresses.exchange, pacing, reports::applyReport) {
-            log.record(DecisionEvent.Skipped("a report of an instance", it))
-        }
+        PeerExchange(loop, settings.addresses.exchange, pacing, createReceiver())
     }
+    private val feeds =
+        InstanceFeeds(self, initial.instance.dataCentre, peers, {
+            phase
+        }, { to, it -> exchange.ask(to, it) }, clock, random)
 
     private val gauges by lazy {
         InstanceGauges(
@@ -160,6 +163,7 @@
             exchange.traffic,
             crashGuard,
             loopDelay,
+            feeds.inquiry,
             clock,
             { history.era.value },
         ) { duties.isHolding }
@@ -188,17 +192,7 @@
         )
         startServer(settings.addresses.metrics, DefaultServerLimits, createMetricsHandler(metrics::scrape))
         gauges.register(metrics)
-        followFeed(
-            platform.configurations,
-            ConfigurationListener(currentConfiguration, quotas, log),
-            CONFIGURATION_WAIT,
-        )
-        followFeed(platform.endpoints, EndpointListener(endpoints, clock, log), ENDPOINT_WAIT)
-        followFeed(
-            platform.objectFeed(InstanceRegistration.KIND),
-            InstanceListener(peers, quotas, clock, registration::decode, log),
-            INSTANCE_WAIT,
-        )
+        startFeeds()
         scope.launch { registration.run() }
         scope.launch { exchange.run(::composeReports) }
         scope.launch { runPeriodicTasks() }
@@ -269,8 +263,31 @@
         servers += startHttpServer(loop, scope, address, limits, MAXIMUM_HEADER_BYTES, handler)
     }
 
-    private fun <T : Any> followFeed(feed: StoreFeed<T>, listener: FeedListener<T>, wait: Duration) {
-        scope.launch { FeedFollower(feed, listener, clock, wait, random).run() }
+    private fun startFeeds() {
+        val configurations = ConfigurationListener(currentConfiguration, quotas, log)
+        feeds.follow(
+            scope,
+            "configurations",
+            platform.configurations,
+            configurations,
+            InstanceFeeds.CONFIGURATION_PACE,
+        )
+        val endpointListener = EndpointListener(endpoints, clock, log)
+        feeds.follow(scope, "endpoints", platform.endpoints, endpointListener, InstanceFeeds.ENDPOINT_PACE)
+        val kind = InstanceRegistration.KIND
+        val instances = InstanceListener(peers, quotas, clock, registration::decode, log)
+        feeds.follow(scope, kind, platform.objectFeed(kind), instances, InstanceFeeds.INSTANCE_PACE)
+        scope.launch { feeds.inquiry.run() }
+    }
+
+    private fun createReceiver() = object : PeerReceiver {
+        override fun onReport(report: PeerReport) = reports.applyReport(report)
+
+        override fun onQuestion(question: FeedQuestion) = feeds.inquiry.answer(question)
+
+        override fun onAnswer(answer: FeedAnswer) = feeds.inquiry.receive(answer)
+
+        override fun onProblem(problem: String) = log.record(DecisionEvent.Skipped("a message of an instance", problem))
     }
 
     private fun sumRequests(window: Long): Map<OrganisationId, Long> {
@@ -318,12 +335,6 @@
         /** A few times the maximum delay between data centres; repeating a lost connection request takes seconds. */
         val CONNECT_TIMEOUT = 400.milliseconds
 
-        /** A shorter wait confirms the newest configuration more often but costs more calls. */
-        val CONFIGURATION_WAIT = 1200.milliseconds
-
-        /** A silent connection to the store is detected after this plus a margin, before an endpoint must be unused. */
-        val ENDPOINT_WAIT = 1000.milliseconds
-        val INSTANCE_WAIT = 10.seconds
         val TASK_INTERVAL = 100.milliseconds
         val STATUS_INTERVAL = 2.seconds
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
@@ -9,6 +9,7 @@
 import org.nutmegspring.gateway.observe.StatusSnapshot
 import org.nutmegspring.gateway.peers.ExchangeTraffic
 import org.nutmegspring.gateway.peers.PeerTable
+import org.nutmegspring.gateway.store.FeedInquiry
 import org.nutmegspring.platform.StoreEra
 import org.nutmegspring.time.MonotonicClock
 import kotlin.time.DurationUnit
@@ -22,6 +23,7 @@
     private val traffic: ExchangeTraffic,
     private val crashGuard: CrashGuard,
     private val loopDelay: EventLoopDelay,
+    private val inquiry: FeedInquiry,
     private val clock: MonotonicClock,
     private val storeEra: () -> StoreEra?,
     private val isHoldingDuties: () -> Boolean,
@@ -42,6 +44,8 @@
         metrics.registerGauge("gateway_report_sent_bytes") { traffic.sentBytes.toDouble() }
         metrics.registerGauge("gateway_report_received_bytes") { traffic.receivedBytes.toDouble() }
         metrics.registerGauge("gateway_report_size_bytes") { traffic.reportBytes.toDouble() }
+        metrics.registerGauge("gateway_feed_calls") { inquiry.ownCalls.toDouble() }
+        metrics.registerGauge("gateway_relay_answers") { inquiry.answeredQuestions.toDouble() }
         metrics.registerGauge("gateway_registered_peers") { peers.registered.size.toDouble() }
         metrics.registerGauge("gateway_endpoints") { endpoints.allStates().size.toDouble() }
         metrics.registerGauge("gateway_live_peers") { peers.liveReports(clock.now()).size.toDouble() }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerExchange.kt
@@ -12,12 +12,28 @@
 import io.netty.channel.socket.nio.NioDatagramChannel
 import kotlinx.coroutines.delay
 import org.nutmegspring.gateway.http.EventLoop
+import org.nutmegspring.gateway.http.parseSocketAddress
 import org.nutmegspring.gateway.http.socketAddress
 import kotlin.time.Duration
 
 /** A report and the addresses that it is sent to. */
 class AddressedReport(val report: PeerReport, val addresses: List<String>)
 
+/** Handles the messages of other instances. */
+interface PeerReceiver {
+    /** Applies a report. */
+    fun onReport(report: PeerReport)
+
+    /** Returns the answer to a question. */
+    fun onQuestion(question: FeedQuestion): FeedAnswer
+
+    /** Takes the answer to a question of this instance. */
+    fun onAnswer(answer: FeedAnswer)
+
+    /** A message cannot be read or sent, for the reason in [problem], which names the other instance. */
+    fun onProblem(problem: String)
+}
+
 /**
  * Exchanges reports with the other instances, as CBOR in UDP datagrams.
  *
@@ -27,8 +43,7 @@
     loop: EventLoop,
     address: String,
     private val pacing: ReportPacing,
-    private val onReport: (PeerReport) -> Unit,
-    private val onUnreadable: (String) -> Unit,
+    private val receiver: PeerReceiver,
 ) {
     /** The bytes sent and received. */
     val traffic = ExchangeTraffic()
@@ -58,30 +73,53 @@
     fun send(reports: List<AddressedReport>) {
         var bytes = 0L
         for (addressed in reports.filter { it.addresses.isNotEmpty() }) {
-            val encoded = PeerReportCodec.encode(addressed.report)
+            val encoded = PeerMessageCodec.encode(PeerMessage.Report(addressed.report))
             traffic.recordSent(encoded.size, addressed.addresses.size)
             bytes += encoded.size.toLong() * addressed.addresses.size
-            addressed.addresses.forEach {
-                channel.write(DatagramPacket(Unpooled.wrappedBuffer(encoded), socketAddress(it)))
-            }
+            addressed.addresses.forEach { write(encoded, it) }
         }
         channel.flush()
         interval = pacing.computeInterval(bytes, reports.sumOf { it.addresses.size })
     }
 
+    /** Sends [question] to [address] once. */
+    fun ask(address: String, question: FeedQuestion) {
+        write(PeerMessageCodec.encode(PeerMessage.Question(question)), address)
+        channel.flush()
+    }
+
+    private fun write(encoded: ByteArray, address: String) {
+        val target = parseSocketAddress(address) ?: return receiver.onProblem("'$address' is no address of an instance")
+        channel.write(DatagramPacket(Unpooled.wrappedBuffer(encoded), target))
+    }
+
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
         override fun channelRead0(context: ChannelHandlerContext, packet: DatagramPacket) {
             traffic.recordReceived(packet.content().readableBytes())
-            try {
-                onReport(PeerReportCodec.decode(ByteBufUtil.getBytes(packet.content())))
+            val message = try {
+                PeerMessageCodec.decode(ByteBufUtil.getBytes(packet.content()))
             } catch (malformed: IllegalArgumentException) {
-                onUnreadable("report of ${packet.sender()} cannot be decoded: ${malformed.message}")
+                return receiver.onProblem("message of ${packet.sender()} cannot be decoded: ${malformed.message}")
+            }
+            when (message) {
+                is PeerMessage.Report -> {
+                    receiver.onReport(message.report)
+                }
+
+                is PeerMessage.Question -> {
+                    val answer = PeerMessageCodec.encode(PeerMessage.Answer(receiver.onQuestion(message.question)))
+                    context.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(answer), packet.sender()))
+                }
+
+                is PeerMessage.Answer -> {
+                    receiver.onAnswer(message.answer)
+                }
             }
         }
 
         @Deprecated("Netty calls this for every failure of a channel")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-            onUnreadable("peer exchange failed: ${cause.message}")
+            receiver.onProblem("peer exchange failed: ${cause.message}")
         }
     }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerTable.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerTable.kt
@@ -1,5 +1,7 @@
 package org.nutmegspring.gateway.peers
 
+import kotlinx.serialization.Serializable
+import org.nutmegspring.identity.DataCentreId
 import org.nutmegspring.identity.Incarnation
 import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.identity.OrganisationId
@@ -9,11 +11,16 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** The addresses of an instance, for the other instances and for callers, as registered in the platform's store. */
-@kotlinx.serialization.Serializable
+/**
+ * The addresses of an instance, for the other instances and for callers, as registered in the platform's store.
+ *
+ * @property dataCentre where the instance runs, null in the record of an older version
+ */
+@Serializable
 data class InstanceRecord(
     val exchangeAddress: String,
     val callerAddress: String,
+    val dataCentre: DataCentreId? = null,
 )
 
 /** The other instances registered in the store, their latest reports, and the usage counts of their processes. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/store/FeedFollower.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/store/FeedFollower.kt
@@ -2,6 +2,8 @@
 
 import arrow.core.Either
 import kotlinx.coroutines.delay
+import org.nutmegspring.currency.StatementVerdict
+import org.nutmegspring.currency.judgeStatement
 import org.nutmegspring.platform.StoreFailure
 import org.nutmegspring.time.MonotonicClock
 import org.nutmegspring.time.MonotonicTime
@@ -32,36 +34,83 @@
  * Follows a feed: lists it, then waits for changes, and lists it again when the store no longer has the history or has
  * returned from an older copy.
  *
- * @param wait how long one call waits for changes; a shorter wait gives fresher evidence and costs more calls
+ * While a relay states that nothing has changed, no call to the store is made.
  */
 class FeedFollower<T>(
     private val feed: StoreFeed<T>,
     private val listener: FeedListener<T>,
     private val clock: MonotonicClock,
-    private val wait: Duration,
+    private val pace: FeedPace,
     private val random: Random,
+    private val witness: FeedWitness = FeedWitness.None,
 ) {
     private var backoff = Duration.ZERO
     private var regainedAt: MonotonicTime? = null
     private var isLost = false
+    private var quietSince = 0L
 
     /** Follows the feed until the coroutine is cancelled. */
     suspend fun run(): Nothing {
         var position: FeedPosition? = null
         while (true) {
             val since = position
-            position = if (since == null) list() else followChanges(since)
+            position = if (since == null) list() else follow(since)
         }
     }
 
+    /** Waits for news from a relay or from the store. Returns as [followChanges]. */
+    private suspend fun follow(position: FeedPosition): FeedPosition? {
+        val asked = witness.awaitStatement() ?: return followChanges(position, ownWait())
+        val maximumAge = pace.maximumStatementAge
+        val verdict =
+            judgeStatement(asked.statement, position.era, position.revision, asked.askedAt, clock.now(), maximumAge)
+        return when (verdict) {
+            is StatementVerdict.Current -> {
+                applyStatement(position, asked, verdict)
+            }
+
+            StatementVerdict.Behind -> {
+                followChanges(position, minOf(BEHIND_WAIT, pace.wait))
+            }
+
+            StatementVerdict.Unproved -> {
+                witness.recordUnproved()
+                followChanges(position, ownWait())
+            }
+        }
+    }
+
+    private fun ownWait(): Duration = if (witness.isRelay) pace.relayWait else pace.wait
+
+    private fun applyStatement(
+        position: FeedPosition,
+        asked: AskedStatement,
+        verdict: StatementVerdict.Current,
+    ): FeedPosition {
+        recordAnswer()
+        asked.statement.regainedAge?.let { age ->
+            val regainedThere = asked.askedAt - age
+            regainedAt = maxOf(regainedAt ?: regainedThere, regainedThere)
+        }
+        listener.onChanged(emptyList(), verdict.provenAt, regainedAt)
+        return FeedPosition(verdict.position, position.era).also { recordProgress(it, verdict.provenAt) }
+    }
+
+    private fun recordProgress(position: FeedPosition, provenAt: MonotonicTime) =
+        witness.recordProgress(FeedProgress(position, quietSince, provenAt, regainedAt))
+
     /** Lists the feed. Returns the position of the list, or null on a failure. */
     private suspend fun list(): FeedPosition? {
         val callStartedAt = clock.now()
+        witness.recordCall()
         return when (val listed = feed.list(LIST_TIMEOUT)) {
             is Either.Right -> {
                 recordAnswer()
                 listener.onListed(listed.value, callStartedAt, regainedAt)
-                listed.value.position
+                val position = listed.value.position
+                quietSince = position.revision
+                recordProgress(position, callStartedAt)
+                position
             }
 
             is Either.Left -> {
@@ -73,14 +122,18 @@
     }
 
     /** Waits for changes once. Returns the next position, or null when the feed must be listed again. */
-    private suspend fun followChanges(position: FeedPosition): FeedPosition? {
+    private suspend fun followChanges(position: FeedPosition, wait: Duration): FeedPosition? {
         val callStartedAt = clock.now()
+        witness.recordCall()
         return when (val waited = feed.awaitChanges(position, wait)) {
             is Either.Right -> {
                 when (val changes = waited.value) {
                     is FeedChanges.Events -> {
                         recordAnswer()
                         listener.onChanged(changes.events, callStartedAt, regainedAt)
+                        if (changes.events.isNotEmpty()) quietSince = changes.position.revision
+                        recordProgress(changes.position, callStartedAt)
+                        if (changes.events.isNotEmpty()) delay(pace.pause)
                         changes.position
                     }
 
@@ -131,5 +184,8 @@
         /** Limits the charged calls to a store that is down, yet detects its recovery well within two seconds. */
         val MAXIMUM_BACKOFF = 400.milliseconds
         const val MINIMUM_JITTER = 0.5
+
+        /** The changes are there already; the wait is for those that the relay only may have seen. */
+        val BEHIND_WAIT = 50.milliseconds
     }
 }
--- /dev/null
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/store/FeedWitness.kt
@@ -0,0 +1,81 @@
+package org.nutmegspring.gateway.store
+
+import org.nutmegspring.currency.FeedStatement
+import org.nutmegspring.time.MonotonicTime
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** A statement of a relay, and when this instance asked for it. */
+class AskedStatement(val statement: FeedStatement, val askedAt: MonotonicTime)
+
+/**
+ * How far a follower has come: it has every change that the store had accepted at [provenAt], and no object changed
+ * after the revision [quietSince] up to [position].
+ *
+ * @property regainedAt when the store last answered again, null if it never failed
+ */
+class FeedProgress(
+    val position: FeedPosition,
+    val quietSince: Long,
+    val provenAt: MonotonicTime,
+    val regainedAt: MonotonicTime?,
+) {
+    /** Returns what this proves at [now] to another instance. */
+    fun toStatement(now: MonotonicTime) =
+        FeedStatement(position.era, quietSince, position.revision, now - provenAt, regainedAt?.let { now - it })
+}
+
+/** What other instances tell a follower of its feed, and what it tells them. */
+interface FeedWitness {
+    /**
+     * Waits for the next statement of a relay. Returns null at once while this instance waits at the store itself, and
+     * also when no relay has answered.
+     */
+    suspend fun awaitStatement(): AskedStatement?
+
+    /** Whether others have lately asked this instance what it knows. */
+    val isRelay: Boolean
+
+    /** Records that a statement proved nothing, so that another relay is asked next. */
+    fun recordUnproved()
+
+    /** Records that the follower calls the store. */
+    fun recordCall()
+
+    /** Records how far the follower has come. */
+    fun recordProgress(progress: FeedProgress)
+
+    /** A witness that knows nothing: the follower waits at the store. */
+    object None : FeedWitness {
+        override suspend fun awaitStatement(): AskedStatement? = null
+
+        override val isRelay: Boolean = false
+
+        override fun recordUnproved() = Unit
+
+        override fun recordCall() = Unit
+
+        override fun recordProgress(progress: FeedProgress) = Unit
+    }
+}
+
+/**
+ * How a feed is followed.
+ *
+ * An answer without changes proves what was so when its call began. Until the next answer its age thus goes from one
+ * wait to two.
+ *
+ * @property wait how long one call waits for changes; a shorter wait gives fresher evidence and costs more calls
+ * @property relayWait the same at a relay, on whose evidence that of others is based
+ * @property pause the time between an answer with changes and the next call, so that changes in quick succession come
+ * with one answer
+ */
+data class FeedPace(val wait: Duration, val relayWait: Duration = wait, val pause: Duration = Duration.ZERO) {
+    /** The age up to which a statement of a relay that the store answers is expected. */
+    val maximumStatementAge: Duration get() = relayWait * 2 + STATEMENT_MARGIN
+
+    private companion object {
+        /** For the answer of the store and the way from the relay. */
+        val STATEMENT_MARGIN = 400.milliseconds
+    }
+}
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/instance/PeerReportsSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/instance/PeerReportsSpec.kt
@@ -9,8 +9,9 @@
 import org.nutmegspring.gateway.forwarding.EndpointLimits
 import org.nutmegspring.gateway.forwarding.QuotaTable
 import org.nutmegspring.gateway.peers.EndpointLimitReport
+import org.nutmegspring.gateway.peers.PeerMessage
+import org.nutmegspring.gateway.peers.PeerMessageCodec
 import org.nutmegspring.gateway.peers.PeerReport
-import org.nutmegspring.gateway.peers.PeerReportCodec
 import org.nutmegspring.gateway.peers.PeerTable
 import org.nutmegspring.gateway.peers.PromptPartEntry
 import org.nutmegspring.gateway.singleInstance
@@ -25,6 +26,7 @@
 import org.nutmegspring.membership.InstancePhase
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertIs
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -149,8 +151,8 @@
         @Test
         fun `requests with the part are refused here as well`() {
             val entry = PromptPartEntry(part, depth = 1, crashAges = mapOf(-5L to 900L), quarantineAge = 100)
-            val bytes = PeerReportCodec.encode(report().copy(promptParts = listOf(entry)))
-            reports.applyReport(PeerReportCodec.decode(bytes))
+            val bytes = PeerMessageCodec.encode(PeerMessage.Report(report().copy(promptParts = listOf(entry))))
+            reports.applyReport(assertIs<PeerMessage.Report>(PeerMessageCodec.decode(bytes)).report)
             assertEquals(part, crashGuard.refuse(listOf(PromptPartId(1), part)))
             assertEquals(listOf(part), reports.nextPromptParts(2).map { it.part })
         }
@@ -161,8 +163,8 @@
         @Test
         fun `the endpoint is chosen in turns here as well`() {
             val named = EndpointLimitReport(EndpointId("e1"), requestsPerSecond = 0.5, ageMilliseconds = 0)
-            val bytes = PeerReportCodec.encode(report().copy(limits = listOf(named)))
-            reports.applyReport(PeerReportCodec.decode(bytes))
+            val bytes = PeerMessageCodec.encode(PeerMessage.Report(report().copy(limits = listOf(named))))
+            reports.applyReport(assertIs<PeerMessage.Report>(PeerMessageCodec.decode(bytes)).report)
             assertEquals(0.5, endpoint("e1").limit.requestsPerSecond)
             assertEquals(emptyList(), reports.nextLimits(2))
         }
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/store/FeedFollowerSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/store/FeedFollowerSpec.kt
@@ -82,7 +82,9 @@
             val feed = ScriptedFeed()
             val recorder = Recorder()
             feed.answers += FeedChanges.Events(listOf(FeedEvent.Removed("a")), FeedPosition(12, StoreEra(1)))
-            backgroundScope.launch { FeedFollower(feed, recorder, { MonotonicTime.ZERO }, 1.seconds, Random(1)).run() }
+            backgroundScope.launch {
+                FeedFollower(feed, recorder, { MonotonicTime.ZERO }, FeedPace(1.seconds), Random(1)).run()
+            }
             runCurrent()
             assertEquals(listOf("list", "changes after 10", "changes after 12"), feed.calls)
             assertEquals(listOf("listed", "changed 1"), recorder.notifications)
@@ -93,7 +95,7 @@
             val feed = ScriptedFeed()
             feed.answers += FeedChanges.HistoryExpired
             backgroundScope.launch {
-                FeedFollower(feed, Recorder(), { MonotonicTime.ZERO }, 1.seconds, Random(1)).run()
+                FeedFollower(feed, Recorder(), { MonotonicTime.ZERO }, FeedPace(1.seconds), Random(1)).run()
             }
             runCurrent()
             assertEquals(listOf("list", "changes after 10", "list", "changes after 10"), feed.calls)
@@ -106,7 +108,9 @@
         fun `calls back off, the loss is reported once and the recovery is detected within half a second`() = runTest {
             val feed = ScriptedFeed().apply { isDown = true }
             val recorder = Recorder()
-            backgroundScope.launch { FeedFollower(feed, recorder, { MonotonicTime.ZERO }, 1.seconds, Random(1)).run() }
+            backgroundScope.launch {
+                FeedFollower(feed, recorder, { MonotonicTime.ZERO }, FeedPace(1.seconds), Random(1)).run()
+            }
             testScheduler.advanceTimeBy(10.seconds)
             assertTrue(feed.calls.size < 60, "${feed.calls.size} calls in 10 s")
             assertEquals(listOf("lost"), recorder.notifications)
@@ -132,7 +136,9 @@
                     if (regained.size == 1) feed.era = StoreEra(2)
                 }
             }
-            backgroundScope.launch { FeedFollower(feed, listener, { MonotonicTime(7) }, 1.seconds, Random(1)).run() }
+            backgroundScope.launch {
+                FeedFollower(feed, listener, { MonotonicTime(7) }, FeedPace(1.seconds), Random(1)).run()
+            }
             testScheduler.advanceTimeBy(1.seconds)
             assertEquals(listOf("list", "changes after 10", "list", "changes after 10"), feed.calls)
             assertEquals(listOf(null, MonotonicTime(7)), regained)
