Keep following lists beside odd entries, and begin lasting tasks again

Cause: one entry nested 100,000 deep exhausted the stack of the parser or of the writer of its text; the error ended the coroutine that followed the list, for good. An entry without a name did the same to each listing. An address without a valid port threw in the sending of reports, which ended too, and on the way of each request that chose the endpoint.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnections.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnections.kt
@@ -233,7 +233,7 @@
     requireNotNull(parseSocketAddress(address)) { "'$address' is no IP address with a port" }
 
 /** Returns [address], `host:port`, parsed, or null unless it is an IP address with a port from 1 to 65535, or 0. */
-internal fun parseSocketAddress(address: String): InetSocketAddress? {
+fun parseSocketAddress(address: String): InetSocketAddress? {
     val separator = address.lastIndexOf(':')
     if (separator < 0) return null
     val port = address.substring(separator + 1).toIntOrNull()?.takeIf { it in PORTS } ?: return null
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -5,7 +5,6 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import org.nutmegspring.admission.QueueWaitLimit
 import org.nutmegspring.gateway.endpoints.EndpointChange
@@ -73,6 +72,7 @@
         log.record(DecisionEvent.Skipped("a task of the instance", cause.stackTraceToString()))
     }
     private val scope = CoroutineScope(loop.dispatcher + SupervisorJob() + failures)
+    private val tasks = LastingTasks(scope, log)
     private val clock = SuspensionAwareClock(systemMonotonicClock(), System::currentTimeMillis)
     private val random = Random.Default
     private val self = initial.instance.id
@@ -193,11 +193,11 @@
         startServer(settings.addresses.metrics, DefaultServerLimits, createMetricsHandler(metrics::scrape))
         gauges.register(metrics)
         startFeeds()
-        scope.launch { registration.run() }
-        scope.launch { exchange.run(::composeReports) }
-        scope.launch { runPeriodicTasks() }
-        scope.launch { logStatus() }
-        duties.start(scope)
+        tasks.start("registration") { registration.run() }
+        tasks.start("reports") { exchange.run(::composeReports) }
+        tasks.start("periodic") { runPeriodicTasks() }
+        tasks.start("status") { logStatus() }
+        duties.start(tasks)
     }
 
     /** Applies changed settings. Servers keep their addresses, and the instance its id, until a restart. */
@@ -266,18 +266,18 @@
     private fun startFeeds() {
         val configurations = ConfigurationListener(currentConfiguration, quotas, log)
         feeds.follow(
-            scope,
+            tasks,
             "configurations",
             platform.configurations,
             configurations,
             InstanceFeeds.CONFIGURATION_PACE,
         )
         val endpointListener = EndpointListener(endpoints, clock, log)
-        feeds.follow(scope, "endpoints", platform.endpoints, endpointListener, InstanceFeeds.ENDPOINT_PACE)
+        feeds.follow(tasks, "endpoints", platform.endpoints, endpointListener, InstanceFeeds.ENDPOINT_PACE)
         val kind = InstanceRegistration.KIND
         val instances = InstanceListener(peers, quotas, clock, registration::decode, log)
-        feeds.follow(scope, kind, platform.objectFeed(kind), instances, InstanceFeeds.INSTANCE_PACE)
-        scope.launch { feeds.inquiry.run() }
+        feeds.follow(tasks, kind, platform.objectFeed(kind), instances, InstanceFeeds.INSTANCE_PACE)
+        tasks.start("inquiry") { feeds.inquiry.run() }
     }
 
     private fun createReceiver() = object : PeerReceiver {
@@ -298,7 +298,7 @@
         return sums
     }
 
-    private suspend fun runPeriodicTasks() {
+    private suspend fun runPeriodicTasks(): Nothing {
         while (true) {
             val sleepStartedAt = clock.now()
             delay(TASK_INTERVAL)
@@ -316,7 +316,7 @@
         }
     }
 
-    private suspend fun logStatus() {
+    private suspend fun logStatus(): Nothing {
         while (true) {
             delay(STATUS_INTERVAL)
             log.record(DecisionEvent.InstanceStatus(gauges.takeStatus()))
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceDuties.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceDuties.kt
@@ -1,7 +1,5 @@
 package org.nutmegspring.gateway.instance
 
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.launch
 import org.nutmegspring.gateway.configuration.ServiceDefinition
 import org.nutmegspring.gateway.duties.DutyCaller
 import org.nutmegspring.gateway.duties.EndpointOrderer
@@ -87,14 +85,14 @@
     /** Returns the engines whose role this instance is changing, if it holds the duties. */
     fun changingEngines(): List<EndpointId> = if (isHolding) roleOrderer.changingEngines() else emptyList()
 
-    /** Takes part in the duties until [scope] ends, unless the settings disable the lease. */
-    fun start(scope: CoroutineScope) {
+    /** Takes part in the duties by [tasks], unless the settings disable the lease. */
+    fun start(tasks: LastingTasks) {
         if (settings.bounds.leaseMilliseconds <= 0) return
-        scope.launch { lease.run() }
-        scope.launch { roleOrderer.run() }
+        tasks.start("lease") { lease.run() }
+        tasks.start("roles") { roleOrderer.run() }
         if (settings.platform.duties.isEmpty()) return
-        scope.launch { endpointOrderer.run() }
-        if (settings.bounds.usageWindowSeconds > 0) scope.launch { createUsageReporter().run() }
+        tasks.start("endpoints") { endpointOrderer.run() }
+        if (settings.bounds.usageWindowSeconds > 0) tasks.start("usage") { createUsageReporter().run() }
     }
 
     private fun createUsageReporter() = UsageReporter(
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceFeeds.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceFeeds.kt
@@ -1,7 +1,5 @@
 package org.nutmegspring.gateway.instance
 
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.launch
 import org.nutmegspring.currency.RelayChoice
 import org.nutmegspring.gateway.peers.FeedQuestion
 import org.nutmegspring.gateway.peers.PeerTable
@@ -35,15 +33,15 @@
     /** Asks the relays, and answers for this instance where it is one. */
     val inquiry = FeedInquiry(::findRelays, ask, clock, random)
 
-    /** Follows [feed], called [name], at [pace] until [scope] ends. */
+    /** Follows [feed], called [name], at [pace] as one of [tasks]. */
     fun <T : Any> follow(
-        scope: CoroutineScope,
+        tasks: LastingTasks,
         name: String,
         feed: StoreFeed<T>,
         listener: FeedListener<T>,
         pace: FeedPace,
     ) {
-        scope.launch { FeedFollower(feed, listener, clock, pace, random, inquiry.witness(name)).run() }
+        tasks.start("feed of $name") { FeedFollower(feed, listener, clock, pace, random, inquiry.witness(name)).run() }
     }
 
     private fun findRelays(): List<String> {
