Spread outputs over engines with few slots, and let enough engines decode

Cause: (1) a fifth of the engines decoded, whatever their slots: 80 slots for some 80 outputs at a time. (2) Instances that see only their own requests chose the same decode engine: costs had no chance in them. (3) When all decode engines were believed full but prefill engines were not, there was no plan, and the request was refused with 'no engine can take the request'. (4) Prompts of 300 tokens were prefilled apart, which costs a call, a transfer and the first step of another engine. Change: the share of decode engines follows their slots; costs count slots and differ at random by up to 4 ms; engines believed full are used when no other of their role is free; a prefill apart counts with 20 ms more; the rank of a prefix counts no more than its prefill.

--- a/decisions/src/main/kotlin/org/nutmegspring/placement/EnginePlacement.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/placement/EnginePlacement.kt
@@ -3,6 +3,7 @@
 import org.nutmegspring.endpoint.EngineRole
 import org.nutmegspring.identity.DataCentreId
 import org.nutmegspring.identity.EndpointId
+import kotlin.random.Random
 
 /**
  * What an instance knows of one engine when it places a request.
@@ -88,34 +89,39 @@
  * queued tokens and the tokens of its prompt that the engine has not cached. Recomputing a shared prefix costs extra in
  * proportion to the share of busy prefill engines, since it delays other requests only when those engines have work. A
  * prefill engine whose queue exceeds the longest wait is skipped while another has a shorter one, whatever it caches.
+ *
+ * Outputs come from several instances that do not know each other's latest choices, to engines with few slots. Among
+ * engines of about the same cost each instance therefore chooses at random; otherwise all would choose the same one
+ * and fill it.
  */
-class EnginePlacement(private val speeds: EngineSpeeds = EngineSpeeds()) {
+class EnginePlacement(
+    private val speeds: EngineSpeeds = EngineSpeeds(),
+    private val random: Random = Random.Default,
+) {
     /**
      * Returns the plan with the lowest cost for [request], received in data centre [from], or null when no engine can
      * take it.
      */
     fun plan(request: PlacementRequest, candidates: List<EngineCandidate>, from: DataCentreId): EnginePlan? {
-        val usable = candidates.filter { it.requests < it.slots * MAX_SLOT_UTILIZATION }.ifEmpty { candidates }
-        val ready = usable.filter { estimateWaitMilliseconds(it) <= request.longestWaitMilliseconds }
-        val recomputationWeight =
-            MAX_RECOMPUTATION_WEIGHT * computeBusyShare(usable.filter { it.role != EngineRole.DECODE })
-        val decodeEngines = usable.filter { it.role != EngineRole.PREFILL }
-        val source = ready.filter { it.role == EngineRole.PREFILL }
-            .ifEmpty { usable.filter { it.role == EngineRole.PREFILL } }
+        val prefillEngines = candidates.filter { it.role == EngineRole.PREFILL }.withFreeSlots()
+        val decodeEngines = candidates.filter { it.role != EngineRole.PREFILL }.withFreeSlots()
+        val recomputationWeight = MAX_RECOMPUTATION_WEIGHT *
+            computeBusyShare(prefillEngines + decodeEngines.filter { it.role == EngineRole.MIXED })
+        val source = prefillEngines.filter { estimateWaitMilliseconds(it) <= request.longestWaitMilliseconds }
+            .ifEmpty { prefillEngines }
             .minByOrNull { computePrefillCost(it, request, recomputationWeight) }
-        val direct = decodeEngines
+        val (direct, directCost) = decodeEngines
             .filter {
                 source == null || it.role == EngineRole.MIXED || countUncachedTokens(it, request) <= SMALL_PROMPT_TOKENS
             }
-            .minByOrNull { computeDirectCost(it, request, from, recomputationWeight) }
-        val target = source?.let { engine -> decodeEngines.minByOrNull { computeTransferCost(it, engine, request) } }
-        val handover = if (source != null && target != null) {
-            computePrefillCost(source, request, recomputationWeight) + computeTransferCost(target, source, request)
-        } else {
-            Double.MAX_VALUE
-        }
+            .cheapest { computeDirectCost(it, request, from, recomputationWeight) }
+        val (target, transferCost) = decodeEngines.takeIf { source != null }.orEmpty()
+            .cheapest { computeTransferCost(it, checkNotNull(source), request) }
+        val handover = source?.let {
+            computePrefillCost(it, request, recomputationWeight) + transferCost + PREFILL_CALL_MILLISECONDS
+        } ?: Double.MAX_VALUE
         return when {
-            direct != null && computeDirectCost(direct, request, from, recomputationWeight) <= handover -> {
+            direct != null && directCost <= handover -> {
                 EnginePlan.Direct(
                     direct,
                     estimateWaitMilliseconds(direct),
@@ -144,7 +150,22 @@
         candidates: List<EngineCandidate>,
         source: EngineCandidate,
     ): EndpointId? =
-        candidates.filter { it.role != EngineRole.PREFILL }.minByOrNull { computeTransferCost(it, source, request) }?.id
+        candidates.filter { it.role != EngineRole.PREFILL }.withFreeSlots()
+            .cheapest { computeTransferCost(it, source, request) }.first?.id
+
+    /** Returns the engines that are believed to have free slots, or all when none has: requests may wait there. */
+    private fun List<EngineCandidate>.withFreeSlots() =
+        filter { it.requests < it.slots * MAX_SLOT_UTILIZATION }.ifEmpty { this }
+
+    /**
+     * Returns an engine of the lowest cost up to a random difference, and its cost without it. A cost is an estimate
+     * from reports that are up to seconds old.
+     */
+    private fun List<EngineCandidate>.cheapest(cost: (EngineCandidate) -> Double): Pair<EngineCandidate?, Double> =
+        map { Triple(it, cost(it), random.nextDouble() * MAX_RANDOM_MILLISECONDS) }
+            .minByOrNull { (_, estimated, difference) -> estimated + difference }
+            ?.let { (engine, estimated, _) -> engine to estimated }
+            ?: (null to Double.MAX_VALUE)
 
     private fun computePrefillSpeed(engine: EngineCandidate): Double = when (engine.role) {
         EngineRole.PREFILL, EngineRole.MIXED -> speeds.prefillTokensPerMillisecond
@@ -170,7 +191,7 @@
         val recomputedTokens = maxOf(0, request.sharedTokens - engine.cachedTokens)
         return estimatePrefillMilliseconds(engine, request) +
             recomputationWeight * recomputedTokens / computePrefillSpeed(engine) +
-            computeRankMilliseconds(engine, request.sharedPrefixHash)
+            computeRankMilliseconds(engine, request)
     }
 
     private fun computeDirectCost(
@@ -181,7 +202,7 @@
     ): Double {
         val distance = if (engine.dataCentre == from) 0.0 else CROSS_DATA_CENTRE_MILLISECONDS
         return computePrefillCost(engine, request, recomputationWeight) +
-            engine.requests * MILLISECONDS_PER_REQUEST + distance
+            computeSlotCost(engine) + distance
     }
 
     /** Returns the share of [engines] that have queued tokens. */
@@ -206,16 +227,20 @@
         val transferredBytes = request.promptTokens * speeds.cacheBytesPerToken
         return estimateTransferMilliseconds(target, source, request) +
             transferredBytes * MILLISECONDS_PER_TRANSFERRED_BYTE +
-            target.requests * MILLISECONDS_PER_REQUEST + target.queuedTokens / computePrefillSpeed(target)
+            computeSlotCost(target) + target.queuedTokens / computePrefillSpeed(target)
     }
 
+    private fun computeSlotCost(engine: EngineCandidate): Double =
+        engine.requests * FULL_ENGINE_MILLISECONDS / maxOf(1, engine.slots)
+
     /**
      * Returns a cost that ranks engines by a hash of the prefix and the engine. All instances thus choose the same
-     * engine for a prefix that no engine has cached.
+     * engine for a prefix that no engine has cached. It is small for a prefix that is soon prefilled again.
      */
-    private fun computeRankMilliseconds(engine: EngineCandidate, sharedPrefixHash: Long): Double {
-        val rank = mixBits(sharedPrefixHash xor engine.id.value.hashCode().toLong()) ushr RANK_SHIFT
-        return rank * MAX_RANK_MILLISECONDS / RANK_RANGE
+    private fun computeRankMilliseconds(engine: EngineCandidate, request: PlacementRequest): Double {
+        val rank = mixBits(request.sharedPrefixHash xor engine.id.value.hashCode().toLong()) ushr RANK_SHIFT
+        val prefixMilliseconds = request.sharedTokens / speeds.prefillTokensPerMillisecond
+        return rank * minOf(MAX_RANK_MILLISECONDS, prefixMilliseconds) / RANK_RANGE
     }
 
     private companion object {
@@ -225,8 +250,14 @@
         /** The weight of the delay that recomputing a shared prefix causes others, if all prefill engines are busy. */
         const val MAX_RECOMPUTATION_WEIGHT = 0.5
 
-        /** Each running request lengthens every decode step, and a request takes a few steps. */
-        const val MILLISECONDS_PER_REQUEST = 0.5
+        /** The delay by the last free slot: each running request lengthens every step, and a full engine refuses. */
+        const val FULL_ENGINE_MILLISECONDS = 32.0
+
+        /** A few requests at an engine with few slots, and less than a transfer between data centres. */
+        const val MAX_RANDOM_MILLISECONDS = 4.0
+
+        /** What a prefill apart costs beyond its tokens: a call more, and the first step of another engine. */
+        const val PREFILL_CALL_MILLISECONDS = 20.0
 
         /** The first decode step after the prefill, plus the time to reach the engine. */
         const val FIRST_STEP_MILLISECONDS = 10.0
--- a/decisions/src/test/kotlin/org/nutmegspring/placement/EnginePlacementSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/placement/EnginePlacementSpec.kt
@@ -27,7 +27,8 @@
         requests: Int = 0,
         dataCentre: DataCentreId = here,
         slowdown: Double = 1.0,
-    ) = EngineCandidate(EndpointId(name), role, dataCentre, queuedTokens, cachedTokens, requests, 64, slowdown)
+        slots: Int = 64,
+    ) = EngineCandidate(EndpointId(name), role, dataCentre, queuedTokens, cachedTokens, requests, slots, slowdown)
 
     @Nested
     inner class `given prefill engines and one decode engine` {
@@ -104,6 +105,29 @@
         }
     }
 
+    @Nested
+    inner class `given decode engines that are believed to be full` {
+        @Test
+        fun `there is a plan, since requests may wait there`() {
+            val full = engine("g", EngineRole.DECODE, requests = 8, slots = 8)
+            val engines = listOf(engine("a", EngineRole.PREFILL, slots = 8), full)
+            assertIs<EnginePlan.Handover>(placement.plan(request, engines, here))
+            assertEquals("g", placement.findDecodeEngine(request, engines, engines.first())?.value)
+        }
+    }
+
+    @Nested
+    inner class `given short prompts` {
+        private val short = PlacementRequest(promptTokens = 290, sharedTokens = 90, sharedPrefixHash = 7)
+
+        @Test
+        fun `a decode engine prefills them itself, also when no other engine has work`() {
+            val engines =
+                List(10) { engine("p$it", EngineRole.PREFILL) } + List(4) { engine("d$it", EngineRole.DECODE) }
+            assertIs<EnginePlan.Direct>(placement.plan(short, engines, here))
+        }
+    }
+
     @Nested
     inner class `without prefill engines` {
         @Test
@@ -174,4 +198,65 @@
             assertTrue(shortest < 0.5, "placed by the shortest queue: $shortest")
         }
     }
+
+    /**
+     * Simulates outputs that 74 instances send to 16 engines with 8 slots. Each instance knows its own requests only.
+     * An engine runs 8 outputs, lets 24 wait and refuses more.
+     */
+    @Nested
+    inner class `at a rate of outputs from many instances to engines with few slots` {
+        private inner class Outputs(private val choose: EnginePlacement) {
+            private val random = Random(11)
+            private val engines = List(16) { engine("d$it", EngineRole.DECODE, slots = 8) }
+            private val source = engine("p", EngineRole.PREFILL, slots = 8)
+            private val ends = engines.associate { it.id to mutableListOf<Double>() }
+            private val own = HashMap<Pair<Int, EndpointId>, MutableList<Double>>()
+            var waiting = 0
+            var refused = 0
+
+            fun run() {
+                var now = 0.0
+                repeat(REQUESTS) {
+                    now += 1000.0 / 350 * -kotlin.math.ln(1 - random.nextDouble())
+                    val instance = random.nextInt(74)
+                    val known = engines.map { it.copy(requests = countOwn(instance, it.id, now)) }
+                    val chosen = checkNotNull(choose.findDecodeEngine(request, known + source, source))
+                    send(instance, chosen, now)
+                }
+            }
+
+            private fun countOwn(instance: Int, engine: EndpointId, now: Double): Int =
+                own[instance to engine]?.also { mine -> mine.removeIf { it <= now } }?.size ?: 0
+
+            private fun send(instance: Int, engine: EndpointId, now: Double) {
+                val running = ends.getValue(engine).also { ended -> ended.removeIf { it <= now } }
+                if (running.size >= 32) {
+                    refused++
+                } else if (running.size >= 8) {
+                    waiting++
+                }
+                if (running.size >= 32) return
+                val end = now + 250 * -kotlin.math.ln(1 - random.nextDouble())
+                running += end
+                own.getOrPut(instance to engine) { mutableListOf() } += end
+            }
+        }
+
+        private fun play(random: Random) = Outputs(EnginePlacement(random = random)).also { it.run() }
+
+        @Test
+        fun `under 25 percent wait and none is refused, against a fifth refused without chance`() {
+            val spread = play(Random(3))
+            val withoutChance = play(object : Random() {
+                override fun nextBits(bitCount: Int): Int = 0
+            })
+            assertEquals(0, spread.refused, "refused")
+            assertTrue(spread.waiting < REQUESTS * 0.25, "waiting: ${spread.waiting} of $REQUESTS")
+            assertTrue(withoutChance.refused > REQUESTS / 5, "refused without chance: ${withoutChance.refused}")
+        }
+    }
+
+    private companion object {
+        const val REQUESTS = 10_000
+    }
 }
--- a/decisions/src/test/kotlin/org/nutmegspring/roles/RoleBalancerSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/roles/RoleBalancerSpec.kt
@@ -38,6 +38,25 @@
         }
     }
 
+    @Nested
+    inner class `given engines with few slots` {
+        private fun withFewSlots(prefill: Int, decode: Int) = engines(prefill, decode).map { it.copy(slots = 8) }
+
+        @Test
+        fun `enough engines decode that outputs find slots`() {
+            val after = applyChanges(withFewSlots(prefill = 10, decode = 38))
+            assertEquals(16, after.count { it.role == EngineRole.DECODE })
+            assertTrue(balancer.planChanges(after).isEmpty())
+        }
+
+        @Test
+        fun `the loss of many of them is made good, that of a few is not`() {
+            assertTrue(balancer.planChanges(withFewSlots(prefill = 32, decode = 12)).isEmpty())
+            val after = applyChanges(withFewSlots(prefill = 38, decode = 8))
+            assertEquals(16, after.count { it.role == EngineRole.DECODE })
+        }
+    }
+
     @Nested
     inner class `when engines are lost` {
         @Test
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/RoleOrderer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/RoleOrderer.kt
@@ -90,7 +90,7 @@
     private fun asBalanced(state: EndpointState): BalancedEngine? {
         val endpoint = state.endpoint
         val role = changesByEngine[endpoint.id]?.role ?: endpoint.role ?: return null
-        return BalancedEngine(endpoint.id, role, endpoint.dataCentre, endpoint.isInterruptible)
+        return BalancedEngine(endpoint.id, role, endpoint.dataCentre, endpoint.isInterruptible, endpoint.slots)
     }
 
     private suspend fun sendOrder(engine: EndpointState, change: RoleChange) {
