Make fewer calls to the store at a start and for each change of an endpoint

Cause: a starting instance read its record before it wrote it and made a call only to learn the era of the store; an instance that relays told of changes fetched each one by itself. Change: the record is created first and read only on a conflict; the lease waits for the first answer of a feed; changes of endpoints are fetched at most once in a quarter of the time in which an endpoint that leaves may still get requests.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -273,7 +273,8 @@
             InstanceFeeds.CONFIGURATION_PACE,
         )
         val endpointListener = EndpointListener(endpoints, clock, log)
-        feeds.follow(tasks, "endpoints", platform.endpoints, endpointListener, InstanceFeeds.ENDPOINT_PACE)
+        val pace = InstanceFeeds.endpointPace(settings.bounds.departureMilliseconds.milliseconds)
+        feeds.follow(tasks, "endpoints", platform.endpoints, endpointListener, pace)
         val kind = InstanceRegistration.KIND
         val instances = InstanceListener(peers, quotas, clock, registration::decode, log)
         feeds.follow(tasks, kind, platform.objectFeed(kind), instances, InstanceFeeds.INSTANCE_PACE)
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceDuties.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceDuties.kt
@@ -1,5 +1,6 @@
 package org.nutmegspring.gateway.instance
 
+import kotlinx.coroutines.delay
 import org.nutmegspring.gateway.configuration.ServiceDefinition
 import org.nutmegspring.gateway.duties.DutyCaller
 import org.nutmegspring.gateway.duties.EndpointOrderer
@@ -88,7 +89,11 @@
     /** Takes part in the duties by [tasks], unless the settings disable the lease. */
     fun start(tasks: LastingTasks) {
         if (settings.bounds.leaseMilliseconds <= 0) return
-        tasks.start("lease") { lease.run() }
+        tasks.start("lease") {
+            // The first answer to a feed tells the era of the store, for which the lease would make a call of its own.
+            while (platform.store.era == null) delay(ERA_CHECK)
+            lease.run()
+        }
         tasks.start("roles") { roleOrderer.run() }
         if (settings.platform.duties.isEmpty()) return
         tasks.start("endpoints") { endpointOrderer.run() }
@@ -130,5 +135,6 @@
 
     private companion object {
         val RENEW_INTERVAL = 1.seconds
+        val ERA_CHECK = 50.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceRegistration.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceRegistration.kt
@@ -8,9 +8,11 @@
 import org.nutmegspring.gateway.peers.InstanceRecord
 import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.node.control.TypedObjectStore
-import org.nutmegspring.node.control.toWriteCondition
 import org.nutmegspring.platform.ObjectKey
 import org.nutmegspring.platform.ObjectStore
+import org.nutmegspring.platform.StoreFailure
+import org.nutmegspring.platform.VersionedObject
+import org.nutmegspring.platform.WriteCondition
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Registers this instance in the platform's store, and reads the records of the others. */
@@ -29,21 +31,26 @@
         }
     }
 
-    /** Writes this instance's record unless the store has it already; retries until it is stored. */
+    /** Creates this instance's record, or replaces what is stored under its name; retries until it is stored. */
     private suspend fun register() {
         val records = TypedObjectStore(store, InstanceRecord.serializer())
         val key = ObjectKey("$KIND/${self.value}")
         while (true) {
-            val found = records.read(key)
-            val isRegistered = found.fold(
-                { false },
-                { it?.value == record || records.write(key, record, it.toWriteCondition()).isRight() },
+            val isRegistered = records.write(key, record, WriteCondition.Absent).fold(
+                { failure -> (failure as? StoreFailure.Conflict)?.current?.let { replace(records, it) } ?: false },
+                { true },
             )
             if (isRegistered) return
             delay(REGISTER_PAUSE)
         }
     }
 
+    /** Replaces [stored] unless it is the same record. Returns whether the store has the record. */
+    private suspend fun replace(records: TypedObjectStore<InstanceRecord>, stored: VersionedObject): Boolean {
+        val isSame = records.decode(stored).getOrNull()?.value == record
+        return isSame || records.write(stored.key, record, WriteCondition.AtVersion(stored.version)).isRight()
+    }
+
     /** Returns the record of an instance in [text], or null when it cannot be read. */
     fun decode(text: String): InstanceRecord? = try {
         json.decodeFromString(InstanceRecord.serializer(), text)
