Send callers to the instances of their data centre

Cause: each answer named the first 64 ready addresses in the order of text, for callers of every data centre. Above 64 instances the others got no callers, and one data centre could get most. Change: an answer depends on the caller's data centre: its ready instances while it has at least seven tenths of an even share, else others make up to that share; more than 64 are chosen by a hash that all instances agree on.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -50,6 +50,7 @@
 import org.nutmegspring.identity.OrganisationId
 import org.nutmegspring.identity.ServiceId
 import org.nutmegspring.lease.LeaseHolder
+import org.nutmegspring.membership.CallerTarget
 import org.nutmegspring.membership.InstancePhase
 import org.nutmegspring.placement.ServicePlacement
 import org.nutmegspring.time.SuspensionAwareClock
@@ -188,7 +189,7 @@
         startServer(
             settings.addresses.directory,
             DefaultServerLimits,
-            createDirectoryHandler(platform.dialect, keepSeconds, ::listCallerAddresses),
+            createDirectoryHandler(platform.dialect, keepSeconds, ::listCallerTargets),
         )
         startServer(settings.addresses.metrics, DefaultServerLimits, createMetricsHandler(metrics::scrape))
         gauges.register(metrics)
@@ -327,9 +328,10 @@
     private fun isReady(): Boolean = phase == InstancePhase.READY && !listCurrency.isBehind(clock.now()) &&
         currentConfiguration.hasEvidence(settings.bounds.revocationMilliseconds.milliseconds, clock.now())
 
-    private fun listCallerAddresses(): List<String> {
+    private fun listCallerTargets(): List<CallerTarget> {
         val age = currentConfiguration.evidenceAge(clock.now())?.inWholeMilliseconds
-        return peers.callerAddresses(OwnAddress(settings.addresses.callers, isReady(), age), clock.now())
+        val own = CallerTarget(settings.addresses.callers, settings.instance.dataCentre)
+        return peers.callerTargets(OwnAddress(own, isReady(), age), clock.now())
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/HttpHandlers.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/HttpHandlers.kt
@@ -5,6 +5,8 @@
 import org.nutmegspring.gateway.http.HttpCall
 import org.nutmegspring.gateway.http.RequestHandler
 import org.nutmegspring.gateway.wire.ServingDialect
+import org.nutmegspring.membership.CallerPlacement
+import org.nutmegspring.membership.CallerTarget
 
 /** Answers readiness queries: 200 if the instance accepts requests, otherwise 503. */
 internal fun createReadinessHandler(dialect: ServingDialect, isReady: () -> Boolean) = RequestHandler { exchange ->
@@ -16,19 +18,20 @@
     exchange.respond(status, DefaultHttpHeaders(), HttpCall.NO_BODY)
 }
 
-/** Answers address queries with the instances that callers should use. */
+/** Answers address queries with those of the instances in [targets] that callers in their data centre should use. */
 internal fun createDirectoryHandler(
     dialect: ServingDialect,
     keepSeconds: () -> Int,
-    addresses: () -> List<String>,
+    targets: () -> List<CallerTarget>,
 ) = RequestHandler { exchange ->
-    val known = addresses()
-    val isQuery = dialect.isAddressQuery(exchange.call.target)
-    if (!isQuery || known.isEmpty()) {
-        exchange.respond(if (isQuery) STATUS_UNAVAILABLE else STATUS_NOT_FOUND, DefaultHttpHeaders(), HttpCall.NO_BODY)
+    val query = dialect.readAddressQuery(exchange.call.target)
+    val addresses = query?.let { CallerPlacement.choose(targets(), it.dataCentre, MAXIMUM_ADDRESSES) }.orEmpty()
+    if (addresses.isEmpty()) {
+        val status = if (query == null) STATUS_NOT_FOUND else STATUS_UNAVAILABLE
+        exchange.respond(status, DefaultHttpHeaders(), HttpCall.NO_BODY)
     } else {
         val headers = DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
-        exchange.respond(STATUS_OK, headers, dialect.addressAnswer(known.take(MAXIMUM_ADDRESSES), keepSeconds()))
+        exchange.respond(STATUS_OK, headers, dialect.addressAnswer(addresses, keepSeconds()))
     }
 }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerTable.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerTable.kt
@@ -5,6 +5,7 @@
 import org.nutmegspring.identity.Incarnation
 import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.identity.OrganisationId
+import org.nutmegspring.membership.CallerTarget
 import org.nutmegspring.membership.InstancePhase
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration
@@ -126,19 +127,19 @@
     fun windowCounts(window: Long): List<Map<OrganisationId, Long>> = countsByWindow[window]?.values?.toList().orEmpty()
 
     /**
-     * Returns the addresses that callers should use: those of ready instances with fresh evidence of the newest
-     * configuration, or of all ready instances when none has it.
+     * Returns the instances that callers may use, by address: the ready ones with fresh evidence of the newest
+     * configuration, or all ready ones when none has it.
      */
-    fun callerAddresses(own: OwnAddress, now: MonotonicTime): List<String> {
+    fun callerTargets(own: OwnAddress, now: MonotonicTime): List<CallerTarget> {
         val ready = liveReports(now).filter { it.phase == InstancePhase.READY }
-        val fresh = ready.filter { report -> report.evidenceAgeMilliseconds.isFresh() }.map(::callerAddress)
-        val ownFresh = listOfNotNull(own.address.takeIf { own.isReady && own.evidenceAgeMilliseconds.isFresh() })
-        val best = ownFresh + fresh
-        if (best.isNotEmpty()) return best.sorted()
-        return (ready.map(::callerAddress) + listOfNotNull(own.address.takeIf { own.isReady })).sorted()
+        val fresh = ready.filter { report -> report.evidenceAgeMilliseconds.isFresh() }.map(::callerTarget)
+        val best = fresh + listOfNotNull(own.target.takeIf { own.isReady && own.evidenceAgeMilliseconds.isFresh() })
+        val all = best.ifEmpty { ready.map(::callerTarget) + listOfNotNull(own.target.takeIf { own.isReady }) }
+        return all.sortedBy { it.address }
     }
 
-    private fun callerAddress(report: PeerReport): String = records.getValue(report.instance).callerAddress
+    private fun callerTarget(report: PeerReport): CallerTarget =
+        records.getValue(report.instance).let { CallerTarget(it.callerAddress, it.dataCentre) }
 
     private fun Long?.isFresh() = this != null && milliseconds < FRESH_EVIDENCE
 
@@ -161,7 +162,7 @@
 
 /** The address of this instance for callers, with what decides whether it is offered. */
 data class OwnAddress(
-    val address: String,
+    val target: CallerTarget,
     val isReady: Boolean,
     val evidenceAgeMilliseconds: Long?,
 )
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/wire/ServingDialect.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/wire/ServingDialect.kt
@@ -2,6 +2,10 @@
 
 import io.netty.handler.codec.http.HttpHeaders
 import org.nutmegspring.gateway.http.HttpCall
+import org.nutmegspring.identity.DataCentreId
+
+/** A caller's question which addresses to use. [dataCentre] is the caller's, null when it names none. */
+data class AddressQuery(val dataCentre: DataCentreId?)
 
 /** Translates between the heads of requests and answers and the gateway's types. It makes no decisions. */
 interface ServingDialect {
@@ -23,8 +27,8 @@
     /** Whether [target] asks whether this instance is ready. */
     fun isReadinessQuery(target: String): Boolean
 
-    /** Whether [target] asks which addresses to use. */
-    fun isAddressQuery(target: String): Boolean
+    /** Returns the question in [target] which addresses to use, or null if it is another one. */
+    fun readAddressQuery(target: String): AddressQuery?
 
     /** Returns the answer that lists [addresses], which callers may cache for [keepSeconds]. */
     fun addressAnswer(addresses: List<String>, keepSeconds: Int): ByteArray
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/peers/PeerTableSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/peers/PeerTableSpec.kt
@@ -5,6 +5,7 @@
 import org.nutmegspring.identity.Incarnation
 import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.identity.OrganisationId
+import org.nutmegspring.membership.CallerTarget
 import org.nutmegspring.membership.InstancePhase
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -44,7 +45,8 @@
         names.forEach { table.register(InstanceId(it), InstanceRecord("$it:2", "$it:1")) }
 
     private fun addresses(isReady: Boolean = true, evidenceAge: Long? = 100) =
-        table.callerAddresses(OwnAddress("self:1", isReady, evidenceAge), clock.now())
+        table.callerTargets(OwnAddress(CallerTarget("self:1", null), isReady, evidenceAge), clock.now())
+            .map { it.address }
 
     @Nested
     inner class `when callers ask for addresses` {
