Count a caller's time from before its request was read, and come back after a start

All instances had lost power and started together on small machines; what waits in the socket while the event loop is busy was given its whole time from when it was read. In the same seconds callers were told to come back after 50 ms to instances that take a second to start. Change: the delay of the event loop is taken off the caller's time. Before the first configuration Retry-After is one second. Also: the record of ends of requests and the receiver of messages are classes of their own.

--- a/decisions/src/test/kotlin/org/nutmegspring/membership/CallerPlacementSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/membership/CallerPlacementSpec.kt
@@ -36,7 +36,8 @@
 
         @Test
         fun `a few that are left get help, so that none has much more than its share`() {
-            val left = ready.filter { it.dataCentre != dataCentres[0] } + ready.first { it.dataCentre == dataCentres[0] }
+            val left =
+                ready.filter { it.dataCentre != dataCentres[0] } + ready.first { it.dataCentre == dataCentres[0] }
             val chosen = CallerPlacement.choose(left, dataCentres[0], limit = 64)
             assertTrue(chosen.size >= left.size / 6, "${chosen.size}")
         }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Admission.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Admission.kt
@@ -12,6 +12,7 @@
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Why a request is refused before dispatch. It has not run and will not run. */
 sealed interface Refusal {
@@ -65,7 +66,8 @@
     /** Returns the admitted request or the reason for its refusal. Does not charge quotas. */
     fun decide(host: String, path: String, facts: RequestFacts): Either<Refusal, AdmittedRequest> = either {
         val configuration =
-            currentConfiguration.configuration ?: raise(createUnavailable("no configuration is known yet"))
+            currentConfiguration.configuration
+                ?: raise(Refusal.Unavailable("no configuration is known yet", START_RETRY_AFTER))
         if (isEndpointListBehind()) raise(createUnavailable("departures of endpoints may have been missed"))
         if (facts.id == null) raise(Refusal.Malformed("the request has no id"))
         val route =
@@ -115,6 +117,9 @@
     private companion object {
         /** Short, because another instance may have a newer configuration already. */
         val RETRY_AFTER = 50.milliseconds
+
+        /** About the time that a start takes; when all instances start, callers that return sooner delay it. */
+        val START_RETRY_AFTER = 1.seconds
     }
 }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/GatewayHandler.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/GatewayHandler.kt
@@ -8,15 +8,11 @@
 import org.nutmegspring.gateway.configuration.RouteKind
 import org.nutmegspring.gateway.http.CallerExchange
 import org.nutmegspring.gateway.http.RequestHandler
-import org.nutmegspring.gateway.observe.DecisionBasis
-import org.nutmegspring.gateway.observe.DecisionEvent
 import org.nutmegspring.gateway.observe.DecisionLog
-import org.nutmegspring.gateway.observe.GatewayMetrics
+import org.nutmegspring.gateway.observe.EventLoopDelay
 import org.nutmegspring.gateway.observe.RequestOutcome
-import org.nutmegspring.gateway.observe.RequestTrace
 import org.nutmegspring.gateway.wire.RequestFacts
 import org.nutmegspring.gateway.wire.ServingDialect
-import org.nutmegspring.identity.RequestId
 import org.nutmegspring.quota.QuotaDecision
 import org.nutmegspring.time.MonotonicClock
 import kotlin.random.Random
@@ -28,14 +24,14 @@
 class GatewayHandler(
     private val dialect: ServingDialect,
     private val admission: Admission,
-    private val currentConfiguration: CurrentConfiguration,
     private val quotas: QuotaTable,
     private val retries: ServiceRetries,
     private val services: ServiceForwarder,
     private val streams: StreamForwarder,
     private val clock: MonotonicClock,
+    private val loopDelay: EventLoopDelay,
+    private val recorder: RequestRecorder,
     private val log: DecisionLog,
-    private val metrics: GatewayMetrics,
     private val random: Random,
 ) : RequestHandler {
     override suspend fun handle(exchange: CallerExchange) {
@@ -54,8 +50,11 @@
             return refuse(exchange, facts, admitted, Refusal.OverQuota("over the quota", decision.retryAfter))
         }
         retries.recordRequest(admitted.service)
-        val wait = computeMaximumWait(admitted.route, facts.timeLeft)
-        val run = RequestRun(admitted, exchange, clock.now() + wait, clock, log)
+        val now = clock.now()
+        // The caller counts its time from the moment at which it sent the request, however late that is read.
+        val wait = (computeMaximumWait(admitted.route, facts.timeLeft) - loopDelay.readDelay(now))
+            .coerceAtLeast(Duration.ZERO)
+        val run = RequestRun(admitted, exchange, now + wait, clock, log)
         serve(run, wait)
     }
 
@@ -124,32 +123,11 @@
             is Refusal.Malformed, is Refusal.Unauthenticated, is Refusal.NoRoute -> null
         }
         answer(exchange, status, refusal.reason, retryAfter)
-        val end = RequestEnd(RequestOutcome.REFUSED, status, refusal.reason)
-        record(facts.id, admitted, end, RequestTrace())
+        recorder.recordRefused(facts.id, admitted, RequestEnd(RequestOutcome.REFUSED, status, refusal.reason))
     }
 
-    private fun recordEnd(run: RequestRun, outcome: RequestOutcome, status: Int, reason: String?) {
-        run.trace.elapsedMilliseconds = run.elapsedMilliseconds()
-        record(run.id, run.admitted, RequestEnd(outcome, status, reason), run.trace)
-    }
-
-    private class RequestEnd(val outcome: RequestOutcome, val status: Int, val reason: String?)
-
-    private fun record(id: RequestId?, admitted: AdmittedRequest?, end: RequestEnd, trace: RequestTrace) {
-        metrics.recordEnd(admitted?.route, end.outcome, end.status, trace)
-        log.record(
-            DecisionEvent.RequestEnded(
-                id,
-                admitted?.route?.name,
-                admitted?.organisation?.id,
-                end.outcome,
-                end.status,
-                end.reason,
-                trace,
-                createDecisionBasis(),
-            ),
-        )
-    }
+    private fun recordEnd(run: RequestRun, outcome: RequestOutcome, status: Int, reason: String?) =
+        recorder.record(run, RequestEnd(outcome, status, reason))
 
     private fun answer(exchange: CallerExchange, status: Int, reason: String, retryAfter: Duration?) {
         val headers: HttpHeaders = DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "text/plain")
@@ -160,9 +138,6 @@
         exchange.respond(status, headers, reason.encodeToByteArray())
     }
 
-    private fun createDecisionBasis() =
-        DecisionBasis(currentConfiguration.configuration?.version, currentConfiguration.evidenceAge(clock.now()))
-
     private companion object {
         const val STATUS_BAD_REQUEST = 400
         const val STATUS_UNAUTHORIZED = 401
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/ServiceRetries.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/ServiceRetries.kt
@@ -52,6 +52,15 @@
 
     /** Returns the counts by window. */
     fun snapshot(): Map<Long, Map<OrganisationId, Long>> = counts.snapshot()
+
+    /** Returns the sums of the counts of [window] and of [others], which are those of other processes. */
+    fun sumWith(window: Long, others: List<Map<OrganisationId, Long>>): Map<OrganisationId, Long> {
+        val sums = HashMap<OrganisationId, Long>()
+        (others + listOfNotNull(snapshot()[window])).forEach { part ->
+            part.forEach { (organisation, count) -> sums.merge(organisation, count, Long::plus) }
+        }
+        return sums
+    }
 }
 
 /** Returns the maximum time to serve a request on [route] whose caller waits for [timeLeft], null if not stated. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -20,6 +20,7 @@
 import org.nutmegspring.gateway.forwarding.EngineProbes
 import org.nutmegspring.gateway.forwarding.GatewayHandler
 import org.nutmegspring.gateway.forwarding.QuotaTable
+import org.nutmegspring.gateway.forwarding.RequestRecorder
 import org.nutmegspring.gateway.forwarding.ServiceForwarder
 import org.nutmegspring.gateway.forwarding.ServiceRetries
 import org.nutmegspring.gateway.forwarding.StreamForwarder
@@ -35,19 +36,14 @@
 import org.nutmegspring.gateway.observe.EventLoopDelay
 import org.nutmegspring.gateway.observe.GatewayMetrics
 import org.nutmegspring.gateway.peers.AddressedReport
-import org.nutmegspring.gateway.peers.FeedAnswer
-import org.nutmegspring.gateway.peers.FeedQuestion
 import org.nutmegspring.gateway.peers.InstanceRecord
 import org.nutmegspring.gateway.peers.OwnAddress
 import org.nutmegspring.gateway.peers.PeerExchange
-import org.nutmegspring.gateway.peers.PeerReceiver
-import org.nutmegspring.gateway.peers.PeerReport
 import org.nutmegspring.gateway.peers.PeerTable
 import org.nutmegspring.gateway.peers.ReportPacing
 import org.nutmegspring.gateway.settings.GatewaySettings
 import org.nutmegspring.gateway.store.StoreHistory
 import org.nutmegspring.identity.Incarnation
-import org.nutmegspring.identity.OrganisationId
 import org.nutmegspring.identity.ServiceId
 import org.nutmegspring.lease.LeaseHolder
 import org.nutmegspring.membership.CallerTarget
@@ -125,7 +121,7 @@
             services = { currentConfiguration.configuration?.services?.values.orEmpty() },
             propagationTime = { exchange.interval * PROPAGATION_INTERVALS },
             storeEraAge = history::age,
-            countRequests = ::sumRequests,
+            countRequests = { usage.sumWith(it, peers.windowCounts(it)) },
             endpoints = endpoints,
         ),
         clock,
@@ -148,7 +144,7 @@
         clock,
     )
     private val exchange: PeerExchange by lazy {
-        PeerExchange(loop, settings.addresses.exchange, pacing, createReceiver())
+        PeerExchange(loop, settings.addresses.exchange, pacing, InstanceReceiver(reports, { feeds.inquiry }, log))
     }
     private val feeds =
         InstanceFeeds(self, initial.instance.dataCentre, peers, {
@@ -248,14 +244,14 @@
         return GatewayHandler(
             platform.dialect,
             admission,
-            currentConfiguration,
             quotas,
             retries,
             services,
             streams,
             clock,
+            loopDelay,
+            RequestRecorder(currentConfiguration, clock, log, metrics),
             log,
-            metrics,
             random,
         )
     }
@@ -282,30 +278,12 @@
         tasks.start("inquiry") { feeds.inquiry.run() }
     }
 
-    private fun createReceiver() = object : PeerReceiver {
-        override fun onReport(report: PeerReport) = reports.applyReport(report)
-
-        override fun onQuestion(question: FeedQuestion) = feeds.inquiry.answer(question)
-
-        override fun onAnswer(answer: FeedAnswer) = feeds.inquiry.receive(answer)
-
-        override fun onProblem(problem: String) = log.record(DecisionEvent.Skipped("a message of an instance", problem))
-    }
-
-    private fun sumRequests(window: Long): Map<OrganisationId, Long> {
-        val sums = HashMap<OrganisationId, Long>()
-        (peers.windowCounts(window) + listOfNotNull(usage.snapshot()[window])).forEach { part ->
-            part.forEach { (organisation, count) -> sums.merge(organisation, count, Long::plus) }
-        }
-        return sums
-    }
-
     private suspend fun runPeriodicTasks(): Nothing {
         while (true) {
             val sleepStartedAt = clock.now()
             delay(TASK_INTERVAL)
             val now = clock.now()
-            loopDelay.record(TASK_INTERVAL, now - sleepStartedAt)
+            loopDelay.record(TASK_INTERVAL, sleepStartedAt, now)
             endpoints.removeLapsed(now)
             currentConfiguration.recordReported(peers.newestConfiguration(now), now)
             crashGuard.update()
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/forwarding/AdmissionSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/forwarding/AdmissionSpec.kt
@@ -48,6 +48,11 @@
             assertIs<Refusal.Unavailable>(refusal(path = "/unknown/"))
             assertIs<Refusal.Unavailable>(refusal(facts(key = null)))
         }
+
+        @Test
+        fun `callers are told to come back after a start, not while it lasts`() {
+            assertEquals(1.seconds, assertIs<Refusal.Unavailable>(refusal()).retryAfter)
+        }
     }
 
     @Nested
