--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -146,10 +146,15 @@
     private val exchange: PeerExchange by lazy {
         PeerExchange(loop, settings.addresses.exchange, pacing, InstanceReceiver(reports, { feeds.inquiry }, log))
     }
-    private val feeds =
-        InstanceFeeds(self, initial.instance.dataCentre, peers, {
-            phase
-        }, { address, question -> exchange.ask(address, question) }, clock, random)
+    private val feeds = InstanceFeeds(
+        self,
+        initial.instance.dataCentre,
+        peers,
+        phase = { phase },
+        ask = { address, question -> exchange.ask(address, question) },
+        clock,
+        random,
+    )
 
     private val gauges by lazy {
         InstanceGauges(
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceFeeds.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceFeeds.kt
@@ -54,12 +54,13 @@
     }
 
     companion object {
-        /** A silent connection to the store is detected after this plus a margin, before an endpoint must be unused. */
+        /** What others know is based on the evidence of a relay, so that this is shorter than their own waits. */
         private val RELAY_WAIT = 700.milliseconds
 
         /** A shorter wait confirms the newest configuration more often but costs more calls. */
         val CONFIGURATION_PACE = FeedPace(wait = 1200.milliseconds, relayWait = RELAY_WAIT)
 
+        /** A silent connection to the store is detected after this plus a margin, before an endpoint must be unused. */
         val ENDPOINT_PACE = FeedPace(wait = 1.seconds, relayWait = RELAY_WAIT)
 
         /** Nothing depends on how soon an instance is known; when many start, their records come together. */
