--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/RoleOrdererSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/RoleOrdererSpec.kt
@@ -37,7 +37,7 @@
     private fun listEngines(prefill: Int, decode: Int) {
         val entries = List(prefill + decode) { index ->
             val role = if (index < prefill) EngineRole.PREFILL else EngineRole.DECODE
-            FeedEntry("e$index", endpointOf("e$index").copy(role = role))
+            FeedEntry("e$index", endpointOf("e$index").copy(role = role, slots = 64))
         }
         table.replace(Listing(entries, FeedPosition(1)), null, MonotonicTime.ZERO)
     }
