--- a/command-line/src/main/kotlin/org/nutmegspring/commandline/RehearseCommand.kt
+++ b/command-line/src/main/kotlin/org/nutmegspring/commandline/RehearseCommand.kt
@@ -3,7 +3,7 @@
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
 import kotlinx.coroutines.runBlocking
-import org.nutmegspring.adapter.rehearse
+import org.nutmegspring.adapter.Rehearsal
 import org.nutmegspring.gateway.observe.BoundedDecisionLog
 import org.nutmegspring.gateway.observe.configureGatewayLogs
 import org.nutmegspring.time.systemMonotonicClock
@@ -16,7 +16,7 @@
     override fun execute() {
         configureGatewayLogs()
         val result = try {
-            runBlocking { rehearse(BoundedDecisionLog(systemMonotonicClock(), LINES_PER_SECOND)) }
+            runBlocking { Rehearsal(BoundedDecisionLog(systemMonotonicClock(), LINES_PER_SECOND)).run() }
         } catch (taken: BindException) {
             return context.fail("a port was taken: ${taken.message}")
         }
