--- a/review/rig/HangUpAtStart.java
+++ b/review/rig/HangUpAtStart.java
@@ -1,4 +1,6 @@
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 
 /**
  * The settings files of two of four machines change three times, and each time the processes there, which have just
@@ -11,8 +13,17 @@
     private static final long AFTER_START = 200;
     private static final long RESTART_DELAY = 500;
 
+    /** Whether this process was started with an ignored SIGHUP, signal 1. */
+    private static boolean isHangUpIgnored() throws IOException {
+        for (String line : Files.readAllLines(Path.of("/proc/self/status"))) {
+            if (line.startsWith("SigIgn:")) return (Long.parseUnsignedLong(line.substring(7).trim(), 16) & 1) != 0;
+        }
+        return false;
+    }
+
     public static void main(String[] arguments) throws IOException {
         Rig rig = new Rig(arguments[0]);
+        if (isHangUpIgnored()) rig.cannotRun("SIGHUP is ignored here, which child processes inherit");
         Rig.Store store = rig.startStore();
         Rig.Server cloud = rig.startCloud();
         store.put("config", "main", Rig.config(7, ""));
@@ -50,11 +61,13 @@
         for (Rig.Gateway gateway : gateways) {
             if (!gateway.awaitReady(20_000)) rig.cannotRun(gateway.name + " is not ready without a signal");
         }
-        // A signal to a process that serves is harmless, so that the settings are not at fault.
-        if (rig.hasTrouble) for (Rig.Gateway gateway : gateways) gateway.signal("HUP");
-        Rig.pause(1_000);
-        for (Rig.Gateway gateway : gateways) {
-            rig.note(gateway.name + ": after a SIGHUP while it serves: alive " + gateway.isAlive());
+        if (rig.hasTrouble) {
+            // A signal to a process that serves is harmless, so that the settings are not at fault.
+            for (Rig.Gateway gateway : gateways) gateway.signal("HUP");
+            Rig.pause(1_000);
+            for (Rig.Gateway gateway : gateways) {
+                rig.note(gateway.name + ": after a SIGHUP while it serves: " + (gateway.isAlive() ? "alive" : "gone"));
+            }
         }
         rig.conclude(machines >= 2, "on " + machines + " of 4 machines in use the process ended by itself three "
             + "times; ends " + ends[0] + " and " + ends[1]);
--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -7,6 +7,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PrintWriter;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -19,7 +20,10 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -30,6 +34,9 @@
     static final String KEY = "key-of-the-theatre";
     static final String TENANT = "theatre";
     private static final long START = System.nanoTime();
+    private static final int LOWEST_PORT = 18_000;
+    private static final int HIGHEST_PORT = 30_000;
+    private static final Set<Integer> TAKEN_PORTS = ConcurrentHashMap.newKeySet();
 
     final boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
     final Path folder;
@@ -106,11 +113,18 @@
         }
     }
 
+    /** Returns a free port below the range that the system takes for outgoing connections. */
     static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket()) {
-            socket.bind(new InetSocketAddress("127.0.0.1", 0));
-            return socket.getLocalPort();
+        for (int attempt = 0; attempt < 1_000; attempt++) {
+            int port = ThreadLocalRandom.current().nextInt(LOWEST_PORT, HIGHEST_PORT);
+            try (ServerSocket socket = new ServerSocket()) {
+                socket.bind(new InetSocketAddress("127.0.0.1", port));
+                if (TAKEN_PORTS.add(port)) return port;
+            } catch (BindException taken) {
+                // Another port is tried.
+            }
         }
+        throw new IOException("no port is free");
     }
 
     /** A message of HTTP/1.1 with its body. */
