--- a/review/rig/BurstOfLargeBodies.java
+++ b/review/rig/BurstOfLargeBodies.java
@@ -1,4 +1,5 @@
 import java.io.IOException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Random;
@@ -67,6 +68,8 @@
             String outcome;
             try {
                 if (channels[client] == null) channels[client] = new Rig.Channel(gateway.callers, TIMEOUT + 500);
+                // All clients leave at the end of the burst, also those that still wait.
+                channels[client].socket.setSoTimeout((int) Math.max(1, Math.min(TIMEOUT + 500, end - Rig.now())));
                 channels[client].send(Rig.requestHead("POST", "/issue/it", id, TIMEOUT,
                     "Content-Length: " + body.length + "\r\n\r\n"));
                 channels[client].send(body);
@@ -108,8 +111,10 @@
                     channel.send(Rig.requestHead("GET", "/lookup/it", id, 20_000, "\r\n"));
                     Rig.Message answer = Rig.read(channel.in);
                     outcome = answer == null ? "the channel was closed" : "answered " + answer.status();
-                } catch (IOException cut) {
+                } catch (SocketTimeoutException noAnswer) {
                     unanswered.incrementAndGet();
+                    outcome = "no answer";
+                } catch (IOException cut) {
                     outcome = cut.toString();
                 }
                 rig.note("client: " + id + " " + outcome + " after " + (Rig.now() - sentAt) + " ms");
--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -45,11 +45,25 @@
     private final List<Closeable> parts = new ArrayList<>();
     private final List<Gateway> gateways = new ArrayList<>();
 
+    private static volatile Rig current;
+
+    static {
+        // A case that fails in itself has not shown anything: the exit code of an uncaught exception would be 1.
+        Thread.setDefaultUncaughtExceptionHandler((thread, failure) -> {
+            System.out.println("NOT RUN: " + failure);
+            failure.printStackTrace();
+            Rig rig = current;
+            if (rig != null) rig.cannotRun(failure.toString());
+            Runtime.getRuntime().halt(2);
+        });
+    }
+
     Rig(String caseFolder) throws IOException {
         folder = Path.of(caseFolder).toAbsolutePath();
         temporary = Files.createTempDirectory("nutmegspring-review");
         record = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")), true);
         Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
+        current = this;
         note("trouble " + (hasTrouble ? "on" : "off"));
     }
 
