Keep no connection to an endpoint on which bytes of no answer were received

Cause: a line that is not whole stays in the decoder of a kept connection and becomes the head of the next answer, so that "not run" came from one answer and the request's id from another. A gauge counts such connections. Why it works: bytes before the next request close the connection; bytes after it leave the true status line within the head, wherever they broke off.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
@@ -43,11 +43,15 @@
 /**
  * A connection to an endpoint that carries one request at a time.
  *
- * It returns to the pool only after the request was written and its answer received completely. An answer whose headers
- * fail [isExpected] belongs to an earlier request: it is skipped, and the connection is closed after the expected one.
+ * It returns to the pool only after the request was written, its answer received completely, and no byte beyond it. An
+ * answer whose headers fail [isExpected] belongs to an earlier request: it is skipped, and the connection is closed
+ * after the expected one.
+ *
+ * @param onStrayBytes called when bytes were received that belong to no request, for which the connection is closed
  */
 internal class EndpointConnection(
     private val clock: MonotonicClock,
+    private val onStrayBytes: () -> Unit,
     private val onIdle: (EndpointConnection) -> Unit,
 ) : SimpleChannelInboundHandler<HttpObject>() {
     private lateinit var channel: Channel
@@ -64,8 +68,11 @@
     var idleDeadline: MonotonicTime = MonotonicTime.ZERO
         private set
 
+    /** Whether the connection carries no request, so that every byte received on it belongs to none. */
+    val isIdle: Boolean get() = parts == null
+
     /** Whether the connection is open, carries no request and may carry another one. */
-    val isUsable: Boolean get() = channel.isActive && parts == null && isReusable
+    val isUsable: Boolean get() = channel.isActive && isIdle && isReusable
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         channel = context.channel()
@@ -92,6 +99,12 @@
         return answer
     }
 
+    /** Closes the connection, on which bytes were received that belong to no request. */
+    fun closeForStrayBytes() {
+        onStrayBytes()
+        fail("bytes without a request")
+    }
+
     /** Closes the connection. The endpoint then stops working on the request that it carries. */
     fun close() = fail("closed by this instance")
 
@@ -106,9 +119,15 @@
         val status = response.status().code()
         when {
             answer == null || isComplete -> {
+                onStrayBytes()
                 fail("answer without a request")
             }
 
+            response.hasInnerStatusLine() -> {
+                onStrayBytes()
+                fail("unreadable answer: a status line within the head")
+            }
+
             status < FIRST_FINAL_STATUS -> {
                 startSkipping()
             }
@@ -150,9 +169,13 @@
     }
 
     override fun channelReadComplete(context: ChannelHandlerContext) {
-        if (parts == null || !isComplete) return
+        if (isIdle || !isComplete) return
         parts = null
-        if (isReusable && written?.isSuccess == true && channel.isActive) onIdle(this) else close()
+        when {
+            context.pipeline().get(AnswerDecoder::class.java).hasUnreadBytes -> closeForStrayBytes()
+            isReusable && written?.isSuccess == true && channel.isActive -> onIdle(this)
+            else -> close()
+        }
     }
 
     private fun fail(reason: String, isDisconnect: Boolean = false) {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnections.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnections.kt
@@ -11,8 +11,6 @@
 import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpHeaders
-import io.netty.handler.codec.http.HttpRequestEncoder
-import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.util.NetUtil
 import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.suspendCancellableCoroutine
@@ -117,6 +115,10 @@
     var openedCount: Long = 0
         private set
 
+    /** The number of connections that were closed because of bytes that belong to no request. */
+    var strayBytesCount: Long = 0
+        private set
+
     /**
      * Sends [call] to [address]. When nothing was sent, the effect of the failure is [Effect.NOT_RUN].
      *
@@ -156,7 +158,7 @@
     /** Tells whether a process accepts connections at [address], by opening one that carries no request. */
     suspend fun probe(address: String): ConnectionProbe {
         val target = parseSocketAddress(address) ?: return ConnectionProbe.UNANSWERED
-        val future = bootstrap(EndpointConnection(clock) { it.close() }).connect(target)
+        val future = bootstrap(EndpointConnection(clock, ::countStrayBytes) { it.close() }).connect(target)
         openedCount++
         val channel = future.awaitChannel()
         channel?.close()
@@ -187,7 +189,7 @@
     private suspend fun connect(address: String): Either<Failure, EndpointConnection> {
         val target = parseSocketAddress(address)
             ?: return Failure(Step.CONNECT, Peer(address), Effect.NOT_RUN, "no IP address with a port").left()
-        val connection = EndpointConnection(clock) { addIdle(address, it) }
+        val connection = EndpointConnection(clock, ::countStrayBytes) { addIdle(address, it) }
         val future = bootstrap(connection).connect(target)
         openedCount++
         val channel = future.awaitChannel()
@@ -207,6 +209,10 @@
         pooled.addLast(connection)
     }
 
+    private fun countStrayBytes() {
+        strayBytesCount++
+    }
+
     private fun bootstrap(connection: EndpointConnection) = Bootstrap()
         .group(loop.group)
         .channel(NioSocketChannel::class.java)
@@ -214,7 +220,7 @@
         .option(ChannelOption.TCP_NODELAY, true)
         .handler(object : ChannelInitializer<Channel>() {
             override fun initChannel(channel: Channel) {
-                channel.pipeline().addLast(HttpRequestEncoder(), HttpResponseDecoder(), connection)
+                channel.pipeline().addAnswerHandlers(connection)
             }
         })
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
@@ -50,6 +50,7 @@
         metrics.registerGauge("gateway_endpoints") { endpoints.allStates().size.toDouble() }
         metrics.registerGauge("gateway_live_peers") { peers.liveReports(clock.now()).size.toDouble() }
         metrics.registerGauge("gateway_connections_opened") { connections.openedCount.toDouble() }
+        metrics.registerGauge("gateway_connections_with_stray_bytes") { connections.strayBytesCount.toDouble() }
         metrics.registerGauge("gateway_engine_crashes") { crashGuard.crashCount.toDouble() }
         metrics.registerGauge("gateway_quarantined_prompt_parts") { crashGuard.quarantinedCount.toDouble() }
         metrics.registerGauge("gateway_quarantine_refusals") { crashGuard.refusalCount.toDouble() }
