State the times of a planned stop apart, and end it with final answers

Cause: 0.8 of the stop time was at once how long requests are taken, how long they may run, and when the process exits. An answer that is not written yet, or a request behind another one on its connection, did not count as running. Change: PlannedStop states three times. A request that may outlast the stop is refused with 503 before it is charged or sent; what runs at the end is answered 502 if it was sent, else 503; unwritten and pipelined work counts.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/GatewayHandler.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/GatewayHandler.kt
@@ -4,8 +4,9 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.isActive
 import kotlinx.coroutines.withTimeoutOrNull
-import org.nutmegspring.gateway.configuration.RouteKind
 import org.nutmegspring.gateway.http.CallerExchange
 import org.nutmegspring.gateway.http.RequestHandler
 import org.nutmegspring.gateway.observe.DecisionLog
@@ -26,8 +27,7 @@
     private val admission: Admission,
     private val quotas: QuotaTable,
     private val retries: ServiceRetries,
-    private val services: ServiceForwarder,
-    private val streams: StreamForwarder,
+    private val running: RunningRequests,
     private val clock: MonotonicClock,
     private val loopDelay: EventLoopDelay,
     private val recorder: RequestRecorder,
@@ -45,42 +45,44 @@
     }
 
     private suspend fun charge(exchange: CallerExchange, facts: RequestFacts, admitted: AdmittedRequest) {
+        val now = clock.now()
+        // The caller counts its time from the moment at which it sent the request, however late that is read.
+        val wait = (computeMaximumWait(admitted.route, facts.timeLeft) - loopDelay.readDelay(now))
+            .coerceAtLeast(Duration.ZERO)
+        if (!running.canAnswerBy(now + wait)) {
+            val refusal = Refusal.Unavailable("the instance stops before the request is sure to end", STOP_RETRY_AFTER)
+            return refuse(exchange, facts, admitted, refusal)
+        }
         val decision = admitted.organisation?.let { quotas.charge(it, admitted.tokens) }
         if (decision is QuotaDecision.Exceeded) {
             return refuse(exchange, facts, admitted, Refusal.OverQuota("over the quota", decision.retryAfter))
         }
         retries.recordRequest(admitted.service)
-        val now = clock.now()
-        // The caller counts its time from the moment at which it sent the request, however late that is read.
-        val wait = (computeMaximumWait(admitted.route, facts.timeLeft) - loopDelay.readDelay(now))
-            .coerceAtLeast(Duration.ZERO)
         val run = RequestRun(admitted, exchange, now + wait, clock, log)
         serve(run, wait)
     }
 
     private suspend fun serve(run: RequestRun, wait: Duration) {
         val end = try {
-            withTimeoutOrNull(wait) {
-                when (run.admitted.route.kind) {
-                    is RouteKind.Streaming -> streams.serve(run)
-                    RouteKind.Idempotent, RouteKind.NonIdempotent -> services.serve(run)
-                }
-            } ?: createDeadlineEnd(run)
+            withTimeoutOrNull(wait) { running.forward(run) } ?: createDeadlineEnd(run)
         } catch (cancellation: CancellationException) {
-            recordEnd(run, RequestOutcome.ABANDONED, 0, "the caller left")
-            throw cancellation
+            if (!currentCoroutineContext().isActive) {
+                recordEnd(run, RequestOutcome.ABANDONED, 0, "the caller left")
+                throw cancellation
+            }
+            createUnfinishedEnd(run, "the instance stopped after ${run.elapsedMilliseconds()} ms", isTimeout = false)
         }
         conclude(run, end)
     }
 
-    private fun createDeadlineEnd(run: RequestRun): RunEnd {
-        val isSent = run.trace.endpoints.isNotEmpty()
-        val reason = "no answer within ${run.elapsedMilliseconds()} ms"
-        return when {
-            run.exchange.isStarted -> RunEnd.BrokenOff(reason)
-            isSent -> RunEnd.Failed(reason, isTimeout = true)
-            else -> RunEnd.NotRun(reason, MINIMUM_RETRY_AFTER)
-        }
+    private fun createDeadlineEnd(run: RequestRun): RunEnd =
+        createUnfinishedEnd(run, "no answer within ${run.elapsedMilliseconds()} ms", isTimeout = true)
+
+    /** Returns how [run] ends for [reason] while it was being forwarded. */
+    private fun createUnfinishedEnd(run: RequestRun, reason: String, isTimeout: Boolean): RunEnd = when {
+        run.exchange.isStarted -> RunEnd.BrokenOff(reason)
+        run.trace.endpoints.isNotEmpty() -> RunEnd.Failed(reason, isTimeout)
+        else -> RunEnd.NotRun(reason, MINIMUM_RETRY_AFTER)
     }
 
     private fun conclude(run: RequestRun, end: RunEnd) {
@@ -150,5 +152,8 @@
         /** Random share added to Retry-After, so that callers refused together do not retry together. */
         const val RETRY_AFTER_SPREAD = 0.5
         val MINIMUM_RETRY_AFTER = 50.milliseconds
+
+        /** Short, because the other instances accept the request. */
+        val STOP_RETRY_AFTER = 50.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
@@ -16,6 +17,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
@@ -124,11 +126,15 @@
     private var keepAlive = true
     private var timer: ScheduledFuture<*>? = null
     private var isClosing = false
+    private var lastWrite: ChannelFuture? = null
 
     private class ReceivedRequest(val call: HttpCall, val keepAlive: Boolean)
 
-    /** Whether a request is being read or answered. */
-    val isBusy: Boolean get() = incomingHead != null || handlerJob != null || pipelinedRequests.isNotEmpty()
+    /** Whether a request is being read or answered, or an answer waits for a caller that reads slowly. */
+    val isBusy: Boolean
+        get() = incomingHead != null || handlerJob != null || pipelinedRequests.isNotEmpty() || !isWritten
+
+    private val isWritten: Boolean get() = lastWrite?.isDone ?: true
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         channel = context.channel()
@@ -180,11 +186,14 @@
 
     /** Writes [message]; after the last part of an answer, handles the next request or closes the connection. */
     fun write(message: HttpObject, isLast: Boolean) {
-        if (message is io.netty.handler.codec.http.HttpResponse && (limits.isStopping || !keepAlive)) {
+        // While the process stops, requests that were read behind this one are answered before the connection closes.
+        val isClosingAfter = !keepAlive || (limits.isStopping && pipelinedRequests.isEmpty())
+        if (message is HttpResponse && isClosingAfter) {
             keepAlive = false
             message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         }
         val written = channel.writeAndFlush(message)
+        lastWrite = written
         if (!isLast) return
         handlerJob = null
         if (keepAlive) handleNext() else written.addListener(ChannelFutureListener.CLOSE)
@@ -201,6 +210,11 @@
         if (!isBusy) close()
     }
 
+    /** Refuses the request of which a part is still to be read, if any. */
+    fun refuseIncomplete() {
+        if (incomingHead != null && !isClosing) reject(UNAVAILABLE)
+    }
+
     private fun close() {
         isClosing = true
         channel.close()
@@ -245,6 +259,7 @@
         const val REQUEST_TIMEOUT = 408
         const val BODY_TOO_LARGE = 413
         const val HEADERS_TOO_LARGE = 431
+        const val UNAVAILABLE = 503
 
         /** The maximum number of complete requests queued on one connection behind the one being handled. */
         const val MAXIMUM_PIPELINED = 8
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/HttpServer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/HttpServer.kt
@@ -18,12 +18,15 @@
     /** The port that it listens on. */
     val port: Int get() = (channel.localAddress() as java.net.InetSocketAddress).port
 
-    /** Whether a request is being read or answered on any connection. */
+    /** Whether a request is being read or answered, or an answer written, on any connection. */
     val isBusy: Boolean get() = connections.any { it.isBusy }
 
     /** Closes the connections on which no request is being read or answered. */
     fun closeIdle() = connections.toList().forEach { it.closeIfIdle() }
 
+    /** Answers the requests of which a part is still to be read with 503. None of them was handled. */
+    fun refuseIncomplete() = connections.toList().forEach { it.refuseIncomplete() }
+
     /** Stops accepting connections; open ones stay. */
     fun stopListening() {
         channel.close()
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -21,6 +21,7 @@
 import org.nutmegspring.gateway.forwarding.GatewayHandler
 import org.nutmegspring.gateway.forwarding.QuotaTable
 import org.nutmegspring.gateway.forwarding.RequestRecorder
+import org.nutmegspring.gateway.forwarding.RunningRequests
 import org.nutmegspring.gateway.forwarding.ServiceForwarder
 import org.nutmegspring.gateway.forwarding.ServiceRetries
 import org.nutmegspring.gateway.forwarding.StreamForwarder
@@ -48,6 +49,7 @@
 import org.nutmegspring.lease.LeaseHolder
 import org.nutmegspring.membership.CallerTarget
 import org.nutmegspring.membership.InstancePhase
+import org.nutmegspring.membership.PlannedStop
 import org.nutmegspring.placement.ServicePlacement
 import org.nutmegspring.time.SuspensionAwareClock
 import org.nutmegspring.time.systemMonotonicClock
@@ -109,6 +111,18 @@
     private val engineChoice =
         EngineChoice(endpoints, sender, platform.dialect, retries, initial.instance.dataCentre, clock)
     private val crashGuard = CrashGuard(EngineProbes(connections), clock, log) { exchange.interval }
+    private val running = RunningRequests(
+        ServiceForwarder(
+            endpoints,
+            sender,
+            ServicePlacement(random),
+            retries,
+            usage,
+            initial.instance.dataCentre,
+            clock,
+        ),
+        StreamForwarder(engineChoice, sender, retries, usage, QueueWaitLimit(), crashGuard),
+    )
     private var phase = InstancePhase.JOINING
     private val servers = mutableListOf<HttpServer>()
     private val duties = InstanceDuties(
@@ -208,22 +222,26 @@
         log.record(DecisionEvent.PhaseChanged(phase.name.lowercase(), "the settings were reloaded"))
     }
 
-    /** Withdraws from address answers, finishes running requests, and returns when the process can exit. */
+    /**
+     * Withdraws from address answers, finishes running requests, and returns when the process can exit. A request that
+     * is still running at the end gets a final answer.
+     */
     suspend fun drain() = withContext(loop.dispatcher) {
         val startedAt = clock.now()
+        val stop = PlannedStop(startedAt, settings.bounds.stopSeconds.seconds)
+        running.beginStop(stop)
         phase = InstancePhase.DRAINING
         log.record(DecisionEvent.PhaseChanged("draining", "the process was told to stop"))
         exchange.send(composeReports())
-        val maximumDrain = settings.bounds.stopSeconds.seconds * DRAIN_SHARE
-        while (clock.now() - startedAt < maximumDrain) {
-            val isDrained = clock.now() - startedAt > MINIMUM_DRAIN && servers.none { it.isBusy }
-            if (isDrained) break
-            delay(DRAIN_CHECK)
-        }
+        while (stop.isServing(servers.any { it.isBusy }, clock.now())) delay(DRAIN_CHECK)
+        log.record(DecisionEvent.PhaseChanged("ending", "${running.count} requests are still running"))
+        running.endAll()
         servers.forEach {
             it.stopListening()
-            it.closeIdle()
+            it.refuseIncomplete()
         }
+        while (servers.any { it.isBusy } && clock.now() < stop.exitAt) delay(DRAIN_CHECK)
+        servers.forEach { it.closeIdle() }
         exchange.send(composeReports())
         log.record(DecisionEvent.PhaseChanged("stopped", "drained in ${clock.now() - startedAt}"))
     }
@@ -242,17 +260,12 @@
             { listCurrency.isBehind(clock.now()) },
             { settings.bounds.toAdmissionBounds() },
         )
-        val dataCentre = settings.instance.dataCentre
-        val services =
-            ServiceForwarder(endpoints, sender, ServicePlacement(random), retries, usage, dataCentre, clock)
-        val streams = StreamForwarder(engineChoice, sender, retries, usage, QueueWaitLimit(), crashGuard)
         return GatewayHandler(
             platform.dialect,
             admission,
             quotas,
             retries,
-            services,
-            streams,
+            running,
             clock,
             loopDelay,
             RequestRecorder(currentConfiguration, clock, log, metrics),
@@ -328,14 +341,8 @@
 
         /** Callers learn of a draining instance within this time, in seconds. */
         const val ADDRESS_KEEP_SECONDS = 2
-
-        /** Callers that keep an address answer for its lifetime have moved to other instances by then. */
-        val MINIMUM_DRAIN = 2500.milliseconds
         val DRAIN_CHECK = 50.milliseconds
 
-        /** Share of the stop time that is used for finishing running requests. */
-        const val DRAIN_SHARE = 0.8
-
         const val DEFAULT_CACHE_TOKENS = 500_000L
         const val MAXIMUM_HEADER_BYTES = 32_768
     }
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/http/HttpServerSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/http/HttpServerSpec.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 import java.net.Socket
@@ -155,5 +156,47 @@
             limits.isStopping = true
             assertTrue("connection: close" in exchange(serve(echo), "GET / HTTP/1.1\nHost: h\n\n").lowercase())
         }
+
+        // Guards against LOST: requests that were read behind another one were dropped without an answer.
+        @Test
+        fun `requests that were read behind another one are answered`() {
+            limits.isStopping = true
+            val answer = exchange(serve(echo), "GET /1 HTTP/1.1\nHost: h\n\nGET /2 HTTP/1.1\nHost: h\n\n")
+            assertEquals(listOf("200", "200"), statuses(answer))
+        }
+
+        // Guards against LOST: an answer that a caller reads slowly was cut off when the process ended.
+        @Test
+        fun `an answer that is not written yet keeps the server busy`() {
+            val handled = CountDownLatch(1)
+            val server = serve { exchange ->
+                exchange.respond(200, DefaultHttpHeaders(), ByteArray(LARGE_ANSWER_BYTES))
+                handled.countDown()
+            }
+            Socket("127.0.0.1", server.port).use {
+                it.getOutputStream().writeHttp("GET / HTTP/1.1\nHost: h\n\n")
+                assertTrue(handled.await(20, TimeUnit.SECONDS))
+                assertTrue(onLoop { server.isBusy })
+            }
+        }
+
+        @Test
+        fun `a request of which a part is missing is refused when the process ends`() {
+            val server = serve(echo)
+            Socket("127.0.0.1", server.port).use {
+                it.soTimeout = 20_000
+                it.getOutputStream().writeHttp("POST / HTTP/1.1\nHost: h\nContent-Length: 10\n\npart")
+                while (!onLoop { server.isBusy }) Thread.onSpinWait()
+                onLoop { server.refuseIncomplete() }
+                assertEquals(listOf("503"), statuses(it.getInputStream().readBytes().decodeToString()))
+            }
+        }
+
+        private fun <T> onLoop(block: () -> T): T = runBlocking(loop.dispatcher) { block() }
+    }
+
+    private companion object {
+        /** More than the system buffers for a connection. */
+        const val LARGE_ANSWER_BYTES = 64 * 1024 * 1024
     }
 }
