Tell instances that start what the fleet charged in the quota window

Cause: an instance that starts hears only what the others charged since their start, spread evenly, and never what the killed ones charged, although those that were not killed know the window exactly. Change: reports say how far back their sender knows the charges, and bring the window in 80 parts to those that know less. Why it works: every instance counts the same window again after one report, whatever was killed, while one knows it.

--- a/decisions/src/main/kotlin/org/nutmegspring/quota/SharedQuota.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/quota/SharedQuota.kt
@@ -4,6 +4,7 @@
 import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
@@ -55,8 +56,10 @@
  * An instance whose reports have stopped may still be charging its share of the quota. The others then use only the
  * shares of the instances they can reach, so that the groups of a partitioned fleet together stay within the quota.
  *
- * A process forgets its charges when it ends, but the others remember them. When most instances start within a window,
- * nobody knows what was charged before. The part of the window that they have not seen then counts as used up.
+ * A process forgets its charges when it ends, but the others remember them, and tell a process that starts what the
+ * fleet charged in each part of the window ([history]). Until it knows that, it estimates it from the totals of the
+ * others. When most instances start within a window, nobody knows what was charged before. The part of the window that
+ * they have not seen then counts as used up.
  *
  * @param processStartedAt when this process started, null if no charges can precede it
  */
@@ -64,7 +67,7 @@
     rate: QuotaRate,
     private val window: Duration,
     now: MonotonicTime,
-    private val processStartedAt: MonotonicTime? = null,
+    processStartedAt: MonotonicTime? = null,
 ) {
     private class ReceivedCharges(val charges: PeerCharges, val receivedAt: MonotonicTime)
 
@@ -73,6 +76,12 @@
     private var members = 1
     private val lastReports = HashMap<InstanceId, ReceivedCharges>()
     private val charged = SlidingSum(window, now)
+
+    /** What others charged before this instance listened to them, as estimated until their history is known. */
+    private val estimatedEarlier = SlidingSum(window, now)
+    private val listeningSince = now
+    private var hasHistory = false
+    private var completeSince = processStartedAt ?: (now - window)
     private val recentlyReported = SlidingSum(RECENT_WINDOW, now)
     private var reportInterval = Duration.ZERO
 
@@ -119,11 +128,36 @@
         val span = if (last == null) charges.runningFor else now - last.receivedAt
         val shareInWindow = if (span > window) window / span else 1.0
         val units = (maxOf(0, chargedUnits - counted) * shareInWindow).toLong()
-        charged.add(units, now)
-        recentlyReported.add(units, now)
+        val listened = now - listeningSince
+        val later = if (last == null && span > listened) (units * (listened / minOf(span, window))).toLong() else units
+        charged.add(later, now)
+        if (!hasHistory) estimatedEarlier.add(units - later, now)
+        recentlyReported.add(later, now)
         reportInterval = charges.reportInterval
     }
 
+    /** Returns how far back this instance knows at [now] what the fleet has charged, at most the window. */
+    fun coverage(now: MonotonicTime): Duration = minOf(now - completeSince, window)
+
+    /** Whether the [history] of an instance with [coverage] tells this one at [now] much that it does not know. */
+    fun needsHistory(coverage: Duration, now: MonotonicTime): Boolean =
+        coverage > coverage(now) + MINIMUM_HISTORY_GAIN
+
+    /** Returns what the fleet has charged in the window, as the units of equal parts of it, the newest first. */
+    fun history(now: MonotonicTime): List<Long> = charged.slices(now)
+
+    /**
+     * Takes over what the fleet charged before this instance listened to the others, from the [history] of one that
+     * knows it for the time of [coverage].
+     */
+    fun adoptHistory(coverage: Duration, history: List<Long>, now: MonotonicTime) {
+        if (!needsHistory(coverage, now)) return
+        charged.replaceBefore(listeningSince, history, now)
+        estimatedEarlier.clear(now)
+        hasHistory = true
+        completeSince = now - coverage
+    }
+
     /**
      * Updates the list of the [others] in the fleet.
      *
@@ -140,7 +174,7 @@
     fun charge(units: Long, now: MonotonicTime): QuotaDecision {
         val unseen = computeUnseenShare(now)
         val limit = allowance(rate) * availableShare * (1 - unseen).coerceAtLeast(MINIMUM_START_SHARE)
-        val available = limit - charged.sum(now) - estimateUnreported(now)
+        val available = limit - charged.sum(now) - estimatedEarlier.sum(now) - estimateUnreported(now)
         if (available >= minOf(units.toDouble(), limit)) {
             charged.add(units, now)
             chargedUnits += units
@@ -152,7 +186,7 @@
 
     /** Returns the share of the quota that nobody knows to be unused, 0 unless most instances have just started. */
     private fun computeUnseenShare(now: MonotonicTime): Double {
-        val own = processStartedAt?.let { computeUnseenTime(now - it) } ?: 0.0
+        val own = computeUnseenTime(coverage(now))
         if (own == 0.0) return 0.0
         val others = lastReports.values.sumOf { computeUnseenTime(it.charges.runningFor + (now - it.receivedAt)) }
         return ((own + others) / members).takeIf { it >= MINIMUM_UNSEEN_SHARE } ?: 0.0
@@ -178,17 +212,21 @@
     private fun allowance(rate: QuotaRate): Double =
         rate.unitsPerSecond * window.toDouble(DurationUnit.SECONDS) + rate.burst
 
-    private companion object {
+    /** Holds the limit of what is worth telling. */
+    companion object {
+        /** Several report intervals of a small fleet. A history that reaches back less far is not worth telling. */
+        val MINIMUM_HISTORY_GAIN = 500.milliseconds
+
         /** Longer than the report interval of a large fleet, shorter than typical load variations. */
-        val RECENT_WINDOW = 1.seconds
+        private val RECENT_WINDOW = 1.seconds
 
         /** Below this the others know most of what was charged, and their reports tell it. */
-        const val MINIMUM_UNSEEN_SHARE = 0.3
+        private const val MINIMUM_UNSEEN_SHARE = 0.3
 
         /** Lets the first requests after a start of the whole fleet in, whatever was charged before. */
-        const val MINIMUM_START_SHARE = 0.1
+        private const val MINIMUM_START_SHARE = 0.1
 
         /** The share that may be used grows with the time since the start. */
-        val START_RETRY_AFTER = 1.seconds
+        private val START_RETRY_AFTER = 1.seconds
     }
 }
--- a/decisions/src/main/kotlin/org/nutmegspring/quota/SlidingSum.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/quota/SlidingSum.kt
@@ -39,6 +39,23 @@
         sum = 0
     }
 
+    /** Returns the units of each 1/80 of the window, the newest first, without zeros at the end. */
+    fun slices(now: MonotonicTime): List<Long> {
+        advance(now)
+        return List(buckets.size) { buckets[index(newestBucket - it)] }.dropLastWhile { it == 0L }
+    }
+
+    /** Replaces the units of the time before [end] by [slices], as [SlidingSum.slices] returned them at [now]. */
+    fun replaceBefore(end: MonotonicTime, slices: List<Long>, now: MonotonicTime) {
+        advance(now)
+        val last = bucketOf(end) - 1
+        for (bucket in (newestBucket - BUCKETS)..minOf(last, newestBucket)) {
+            val units = slices.getOrElse((newestBucket - bucket).toInt()) { 0L }
+            sum += units - buckets[index(bucket)]
+            buckets[index(bucket)] = units
+        }
+    }
+
     /** Returns the time until [units] have left the window, or null if it does not contain that many. */
     fun timeUntilFreed(units: Double, now: MonotonicTime): Duration? {
         advance(now)
--- a/decisions/src/test/kotlin/org/nutmegspring/quota/SharedQuotaSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/quota/SharedQuotaSpec.kt
@@ -36,6 +36,7 @@
         private val isDelivered: (Int, Int, Int) -> Boolean = { _, _, _ -> true },
     ) {
         private val startedAt = IntArray(ids.size)
+        private val downUntil = IntArray(ids.size)
         val quotas = ids.map { SharedQuota(rate, window, at(0)) }.toMutableList()
         val admitted = mutableListOf<Pair<Int, Long>>()
         var refused = 0
@@ -46,16 +47,29 @@
             startedAt[it] = time
         }
 
-        fun run(milliseconds: Int, unitsPerSecond: Long, units: Long = 5_000, onTime: (Int) -> Unit = {}) {
+        /** Ends the processes of [instances] at [time] and starts others [downTime] ms later, which know nothing. */
+        fun restart(instances: Collection<Int>, time: Int, downTime: Int) = instances.forEach {
+            startedAt[it] = time + downTime
+            downUntil[it] = time + downTime
+            quotas[it] = SharedQuota(rate, window, at(startedAt[it]), at(startedAt[it]))
+        }
+
+        private fun isUp(instance: Int, time: Int) = time >= downUntil[instance]
+
+        fun run(milliseconds: Int, unitsPerSecond: Long, units: Long = 5_000, onTime: (Int) -> Unit = {}) =
+            run(milliseconds, { unitsPerSecond }, units, onTime)
+
+        fun run(milliseconds: Int, unitsPerSecond: (Int) -> Long, units: Long = 5_000, onTime: (Int) -> Unit = {}) {
             var pendingUnits = 0.0
             var next = 0
             for (time in 0 until milliseconds) {
                 onTime(time)
                 exchange(time)
-                pendingUnits += unitsPerSecond / 1000.0
+                pendingUnits += unitsPerSecond(time) / 1000.0
                 while (pendingUnits >= units) {
                     pendingUnits -= units
-                    charge(next++ % ids.size, units, time)
+                    do next++ while (!isUp(next % ids.size, time))
+                    charge(next % ids.size, units, time)
                 }
             }
         }
@@ -68,19 +82,25 @@
         }
 
         private fun exchange(time: Int) {
-            val senders = ids.indices.filter { (time + it * REPORT_OFFSET) % interval == 0 }
-            for (receiver in ids.indices) {
+            val senders = ids.indices.filter { (time + it * REPORT_OFFSET) % interval == 0 && isUp(it, time) }
+            for (receiver in ids.indices.filter { isUp(it, time) }) {
                 for (sender in senders.filter { it != receiver && isDelivered(receiver, it, time) }) {
                     val charges = report(ids[sender], quotas[sender].chargedUnits, time, interval).copy(
-                        incarnation = Incarnation(if (startedAt[sender] > 0) 2 else 1),
+                        incarnation = Incarnation(startedAt[sender].toLong()),
                         runningFor = (time - startedAt[sender]).milliseconds,
                     )
                     quotas[receiver].recordPeerCharges(charges, at(time))
+                    shareHistory(quotas[sender], quotas[receiver], at(time))
                 }
                 if (time % 100 == 0) quotas[receiver].updateMembers(ids - ids[receiver], at(time))
             }
         }
 
+        private fun shareHistory(sender: SharedQuota, receiver: SharedQuota, now: MonotonicTime) {
+            val coverage = sender.coverage(now)
+            if (receiver.needsHistory(coverage, now)) receiver.adoptHistory(coverage, sender.history(now), now)
+        }
+
         fun maximumInWindow(): Long = admitted.maxOf { (begin, _) ->
             admitted.filter { it.first in begin until begin + 8000 }.sumOf { it.second }
         }
@@ -141,6 +161,52 @@
         }
     }
 
+    // Guards against QUOTA: processes that started after a kill did not know what the fleet had charged in the window.
+    @Nested
+    inner class `when some processes end in the middle of a window and others start in their place` {
+        /** Plays 30 s, of which the organisation sends half of its rate in the first 12 s. */
+        private fun play(instances: Int, share: Double, unitsPerSecond: Long, kills: List<Int>): Fleet {
+            val ids = List(instances) { InstanceId("instance-$it") }
+            val fleet = Fleet(ids, interval = maxOf(100, 10 * instances))
+            val killed = (0 until (instances * share).toInt()).toList()
+            val load = { time: Int -> if (time < SURGE_AT) 50_000L else unitsPerSecond }
+            fleet.run(30_000, load) { if (it in kills) fleet.restart(killed, it, DOWN_TIME) }
+            return fleet
+        }
+
+        private fun assertWithinQuota(instances: Int, share: Double, kills: List<Int>) {
+            val used = play(instances, share, unitsPerSecond = 600_000, kills).maximumInWindow()
+            assertTrue(used <= limit * 1.1, "$instances instances, $share killed at $kills: $used of $limit")
+        }
+
+        @Test
+        fun `a surge to six times the rate stays within a tenth of the quota in a small fleet`() {
+            for (instances in listOf(6, 9)) {
+                for (share in listOf(0.35, 0.55)) {
+                    for (kill in listOf(13_000, 15_000)) assertWithinQuota(instances, share, listOf(kill))
+                }
+            }
+        }
+
+        @Test
+        fun `a surge to six times the rate stays within a tenth of the quota in a fleet of 30`() {
+            for (share in listOf(0.3, 0.55)) assertWithinQuota(30, share, listOf(15_000))
+        }
+
+        @Test
+        fun `a surge to six times the rate stays within a tenth of the quota through three kills`() {
+            for (instances in listOf(6, 30)) assertWithinQuota(instances, 0.55, listOf(13_000, 16_000, 19_000))
+        }
+
+        @Test
+        fun `an organisation at seven tenths of its rate is hardly refused`() {
+            for (instances in listOf(6, 30)) {
+                val fleet = play(instances, 0.35, unitsPerSecond = 70_000, listOf(15_000))
+                assertTrue(fleet.refused <= 20, "$instances instances: ${fleet.refused} refused")
+            }
+        }
+    }
+
     @Nested
     inner class `while an organisation stays within its rate` {
         @Test
@@ -300,5 +366,11 @@
     private companion object {
         /** The offset between the reports of consecutive instances, in milliseconds. */
         const val REPORT_OFFSET = 10
+
+        /** The time until a killed process has started again, in milliseconds. */
+        const val DOWN_TIME = 1_500
+
+        /** When the surge begins, in milliseconds. */
+        const val SURGE_AT = 12_000
     }
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
@@ -6,6 +6,7 @@
 import org.nutmegspring.gateway.configuration.ServingConfiguration
 import org.nutmegspring.gateway.observe.DecisionEvent
 import org.nutmegspring.gateway.observe.DecisionLog
+import org.nutmegspring.gateway.peers.ChargeHistoryReport
 import org.nutmegspring.gateway.peers.PeerReport
 import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.identity.OrganisationId
@@ -119,9 +120,33 @@
                 expiresAt = now + report.lifetime(MINIMUM_REPORT_LIFETIME),
             )
             quota.recordPeerCharges(charges, now)
+            report.chargeHistory?.let { history ->
+                val coverage = history.coverageMilliseconds.milliseconds
+                quota.adoptHistory(coverage, history.units[organisation].orEmpty(), now)
+            }
         }
     }
 
+    /** Returns how far back this instance knows what the fleet charged, null for the whole window. */
+    fun findCoverage(): Duration? {
+        val now = clock.now()
+        return quotas.values.minOfOrNull { it.coverage(now) }?.takeIf { it < window() }
+    }
+
+    /** Returns what the fleet charged to the [count] organisations that used most. */
+    fun createHistory(count: Int): ChargeHistoryReport {
+        val now = clock.now()
+        val units = quotas.mapValues { it.value.history(now) }.entries
+            .sortedByDescending { it.value.sum() }
+            .take(count)
+            .associate { it.key to it.value }
+        return ChargeHistoryReport((findCoverage() ?: window()).inWholeMilliseconds, units)
+    }
+
+    /** Whether the history of this instance tells one that knows the charges for the time of [coverage] much more. */
+    fun canInform(coverage: Duration): Boolean =
+        quotas.isNotEmpty() && (findCoverage() ?: window()) > coverage + SharedQuota.MINIMUM_HISTORY_GAIN
+
     /** Updates the list of the other instances. */
     fun updateMembers(others: Collection<InstanceId>) {
         val now = clock.now()
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/ReportComposer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/ReportComposer.kt
@@ -9,11 +9,13 @@
 import org.nutmegspring.gateway.peers.PeerTable
 import org.nutmegspring.gateway.peers.ReportPacing
 import org.nutmegspring.gateway.peers.WindowReport
+import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.lease.LeaseHolder
 import org.nutmegspring.membership.InstancePhase
 import org.nutmegspring.time.MonotonicClock
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -38,6 +40,9 @@
     private var sequence = 0L
     private var usageSentAt: MonotonicTime? = null
 
+    /** Differs between instances, so that they do not all inform the same one. */
+    private var nextStarting = self.instance.value.hashCode()
+
     /** Returns the next reports of an instance in [phase] whose reports are [interval] apart. */
     fun compose(phase: InstancePhase, interval: Duration): List<AddressedReport> {
         val now = clock.now()
@@ -61,13 +66,38 @@
             promptParts = reports.nextPromptParts(entries.promptParts),
             storeEra = reports.storeEra.value,
             storeEraAgeMilliseconds = reports.storeEraAge().inWholeMilliseconds,
+            chargeCoverageMilliseconds = quotas.findCoverage()?.inWholeMilliseconds,
         )
         val usageReaders = if (isUsageDue(now)) peers.dutyHolders(now) + duties.participants() else emptySet()
-        val (readers, others) = peers.registered.entries.partition { it.key in usageReaders }
-        return listOf(
-            AddressedReport(report, others.map { it.value.exchangeAddress }),
-            AddressedReport(withUsage(report), readers.map { it.value.exchangeAddress }),
-        )
+        val starting = nextStartingPeers(now)
+        val groups = peers.registered.entries.groupBy({
+            Pair(it.key in usageReaders, it.key in starting)
+        }, { it.value })
+        return groups.map { (group, records) ->
+            val (readsUsage, isStarting) = group
+            val withHistory = if (isStarting) withChargeHistory(report, entries.charges) else report
+            val addressed = if (readsUsage) withUsage(withHistory) else withHistory
+            AddressedReport(addressed, records.map { it.exchangeAddress })
+        }
+    }
+
+    private fun withChargeHistory(report: PeerReport, organisations: Int): PeerReport =
+        report.copy(chargeHistory = quotas.createHistory(organisations))
+
+    /**
+     * Returns instances that do not know what the fleet charged, [MAXIMUM_STARTING_PEERS] at a time, in turn. One
+     * history is enough for each, and all other instances send theirs as well.
+     */
+    private fun nextStartingPeers(now: MonotonicTime): Set<InstanceId> {
+        val starting = peers.liveReports(now).filter { report ->
+            report.chargeCoverageMilliseconds?.let { quotas.canInform(it.milliseconds) } ?: false
+        }.map { it.instance }.sortedBy { it.value }
+        if (starting.isEmpty()) return emptySet()
+        val first = nextStarting
+        nextStarting += MAXIMUM_STARTING_PEERS
+        return List(minOf(MAXIMUM_STARTING_PEERS, starting.size)) {
+            starting[Math.floorMod(first + it, starting.size)]
+        }.toSet()
     }
 
     private fun isUsageDue(now: MonotonicTime): Boolean {
@@ -84,6 +114,9 @@
     private companion object {
         val USAGE_INTERVAL = 1.seconds
 
+        /** A history is several times as large as the rest of a report. */
+        const val MAXIMUM_STARTING_PEERS = 2
+
         /** The current window and those that may not be reported to the platform yet. */
         const val SENT_WINDOWS = 3
     }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
@@ -46,6 +46,19 @@
     @CborLabel(2) val windows: List<WindowReport>,
 )
 
+/**
+ * What the fleet charged in the quota window, as the sender knows it.
+ *
+ * @property coverageMilliseconds how far back the sender knows it, at most the window
+ * @property units units by organisation in equal parts of the window, the newest first; none for organisations left out
+ */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+data class ChargeHistoryReport(
+    @CborLabel(1) val coverageMilliseconds: Long,
+    @CborLabel(2) val units: Map<OrganisationId, List<Long>>,
+)
+
 /** What the sender knows of a prompt part under which engines crashed. Ages are in milliseconds. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -85,6 +98,8 @@
  * @property storeEra the era of the platform's store
  * @property storeEraAgeMilliseconds for how long the sender knows that this era has lasted
  * @property endedProcesses counts of processes that recently stopped reporting, for instances that started afterwards
+ * @property chargeCoverageMilliseconds how far back the sender knows what the fleet charged, null for the quota window
+ * @property chargeHistory what the fleet charged; only instances that have just started receive it
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -109,6 +124,8 @@
     @CborLabel(18) val limits: List<EndpointLimitReport> = emptyList(),
     @CborLabel(19) val storeEra: Long = 0,
     @CborLabel(20) val storeEraAgeMilliseconds: Long = 0,
+    @CborLabel(21) val chargeCoverageMilliseconds: Long? = null,
+    @CborLabel(22) val chargeHistory: ChargeHistoryReport? = null,
 ) {
     /**
      * Returns how long the report is valid: at least [minimum], and [intervals] times the interval between reports. By
