Forward within a stream only events that continue it

Cause: a signed 200 of the next engine was forwarded whatever it brought, and its end was the end of the stream. Change: StreamProgress holds the media type and the last id; a further answer has to go on from them with at least one event. Why it works: after the head has been sent, every byte that is forwarded belongs to an event with a greater id.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -31,19 +31,9 @@
     private val limit: QueueWaitLimit,
     private val crashGuard: CrashGuard,
 ) {
-    /** The progress of the answer to one caller, over all attempts. */
-    private class Progress(var lastEvent: String?) {
-        var isStarted = false
-        var hasOutput = false
-        var isCounted = false
-
-        /** Whether another engine can resume: nothing was forwarded, or the last forwarded event has a known id. */
-        val canContinue: Boolean get() = !isStarted || lastEvent != null
-    }
-
     /** Serves [run]. */
     suspend fun serve(run: RequestRun): RunEnd {
-        val progress = Progress(run.admitted.facts.lastEvent)
+        val progress = StreamProgress(run.admitted.facts.lastEvent)
         var last: RunEnd = RunEnd.NotRun("no engine can take the request", choice.timeUntilTurn(run) ?: RETRY_PAUSE)
         while (true) {
             when (val next = nextAttempt(run, progress, last)) {
@@ -67,7 +57,7 @@
         class Retry(val end: RunEnd) : Next
     }
 
-    private suspend fun nextAttempt(run: RequestRun, progress: Progress, last: RunEnd): Next {
+    private suspend fun nextAttempt(run: RequestRun, progress: StreamProgress, last: RunEnd): Next {
         findQuarantineEnd(run, last)?.let { return Next.Ended(it) }
         val plan = choice.choose(run, limit.computeMaximumWait(shortestObjective(run))) ?: return Next.Ended(last)
         if (run.trace.plan == null) run.trace.plan = plan
@@ -109,7 +99,7 @@
     }
 
     /** Returns a refusal if the first output is expected too late, or null. */
-    private fun refusal(run: RequestRun, progress: Progress, plan: EnginePlan): RunEnd? {
+    private fun refusal(run: RequestRun, progress: StreamProgress, plan: EnginePlan): RunEnd? {
         if (progress.hasOutput) return null
         val decision = limit.decide(
             queueWait = plan.waitMilliseconds.milliseconds,
@@ -129,7 +119,7 @@
     private fun createImpossibleEnd(run: RequestRun, reason: String, last: RunEnd): RunEnd =
         if (run.mayHaveRun) last else RunEnd.NotRun(reason, RETRY_PAUSE)
 
-    private suspend fun attemptAt(run: RequestRun, progress: Progress, prepared: PreparedEngine): Next {
+    private suspend fun attemptAt(run: RequestRun, progress: StreamProgress, prepared: PreparedEngine): Next {
         run.trace.endpoints += prepared.engine.endpoint.id
         run.excluded += prepared.engine.endpoint.id
         return when (val end = attempt(run, prepared, progress)) {
@@ -165,7 +155,7 @@
         class Failed(val failure: Failure, val isDisconnect: Boolean, val events: Int) : AttemptEnd
     }
 
-    private suspend fun attempt(run: RequestRun, prepared: PreparedEngine, progress: Progress): AttemptEnd {
+    private suspend fun attempt(run: RequestRun, prepared: PreparedEngine, progress: StreamProgress): AttemptEnd {
         val engine = prepared.engine
         val attempt = choice.recordDispatch(run, prepared)
         var answering: AttemptStart.Answering? = null
@@ -190,35 +180,51 @@
     private suspend fun forwardEvents(
         run: RequestRun,
         prepared: PreparedEngine,
-        progress: Progress,
+        progress: StreamProgress,
         started: AttemptStart.Answering,
         attempt: EngineAttempt,
     ): AttemptEnd {
         run.trace.framing = started.head.framing
         if (!started.head.isSuccess || !started.head.facts.isSigned) return sendError(run, prepared, progress, started)
         val events = EventSplitter()
+        if (!progress.beginAttempt(started.head)) {
+            return recordFailure(run, prepared, brokenAnswer(prepared, "an answer of another type within a stream"))
+        }
         while (true) {
             val part = awaitNextPart(run, attempt, started)
-            if (part is AnswerPart.Body) {
-                events.add(part.bytes).forEach { forwardEvent(run, progress, started.head, it, attempt) }
-                if (events.isTooLarge) return recordFailure(run, prepared, brokenAnswer(prepared, "an endless event"))
-            } else {
-                return finishAttempt(run, prepared, progress, started.head, events, part)
-            }
+            if (part !is AnswerPart.Body) return finishAttempt(run, prepared, progress, started.head, events, part)
+            val problem = forwardPart(run, progress, started.head, part.bytes, events, attempt)
+            if (problem != null) return recordFailure(run, prepared, brokenAnswer(prepared, problem))
+        }
+    }
+
+    /** Forwards the events that [bytes] complete. Returns why the answer can't be forwarded, or null. */
+    private fun forwardPart(
+        run: RequestRun,
+        progress: StreamProgress,
+        head: AnswerHead,
+        bytes: ByteArray,
+        events: EventSplitter,
+        attempt: EngineAttempt,
+    ): String? {
+        for (event in events.add(bytes)) {
+            if (!progress.isInOrder(event)) return "an event that does not continue the stream"
+            forwardEvent(run, progress, head, event, attempt)
         }
+        return if (events.isTooLarge) "an endless event" else null
     }
 
     /** Finishes an attempt with its last [part], null when the wait for it timed out. */
     private fun finishAttempt(
         run: RequestRun,
         prepared: PreparedEngine,
-        progress: Progress,
+        progress: StreamProgress,
         head: AnswerHead,
         events: EventSplitter,
         part: AnswerPart?,
     ): AttemptEnd = when (part) {
         is AnswerPart.End -> {
-            if (isCutOff(head, events)) {
+            if (isCutOff(head, events) || (progress.isContinued && events.count == 0)) {
                 val failure = brokenAnswer(prepared, "the stream ended before the end of an event")
                 recordFailure(
                     run,
@@ -252,7 +258,7 @@
 
     private fun forwardEvent(
         run: RequestRun,
-        progress: Progress,
+        progress: StreamProgress,
         head: AnswerHead,
         event: StreamEvent,
         attempt: EngineAttempt,
@@ -275,8 +281,8 @@
     private fun isCutOff(head: AnswerHead, events: EventSplitter): Boolean =
         events.hasPartialEvent || (head.framing == BodyFraming.CONNECTION && events.count == 0)
 
-    private fun start(run: RequestRun, progress: Progress, head: AnswerHead) {
-        progress.isStarted = true
+    private fun start(run: RequestRun, progress: StreamProgress, head: AnswerHead) {
+        progress.recordStart(head)
         run.exchange.start(head.status, head.headers.withoutHopByHopHeaders())
     }
 
@@ -284,7 +290,7 @@
     private suspend fun sendError(
         run: RequestRun,
         prepared: PreparedEngine,
-        progress: Progress,
+        progress: StreamProgress,
         started: AttemptStart.Answering,
     ): AttemptEnd {
         val address = prepared.engine.endpoint.address
@@ -332,7 +338,7 @@
     private fun brokenAnswer(prepared: PreparedEngine, reason: String) =
         Failure(Step.READ_ANSWER, Peer(prepared.engine.endpoint.address), Effect.UNKNOWN, reason)
 
-    private fun createRunEnd(run: RequestRun, progress: Progress, failure: Failure): RunEnd = when {
+    private fun createRunEnd(run: RequestRun, progress: StreamProgress, failure: Failure): RunEnd = when {
         progress.isStarted -> RunEnd.BrokenOff(failure.message)
         run.mayHaveRun -> RunEnd.Failed(failure.message, isTimeout = run.timeLeft() == Duration.ZERO)
         else -> RunEnd.NotRun(failure.message, RETRY_PAUSE)
