Bound what all answers hold together, and read no faster than receivers do

Cause: parts that a receiver has not taken, and events for a caller that reads slowly, waited without a bound; the limit on a whole body holds for each answer, not for all. Change: reading pauses above 64 KiB not taken; a stream waits for its caller; AnswerMemory bounds all answers together. Why it works: what is not held here waits in the endpoint's connection, and the request's deadline ends it.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EventStream.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EventStream.kt
@@ -14,6 +14,9 @@
     /** Whether a partial event is buffered. */
     val hasPartialEvent: Boolean get() = pending.isNotEmpty()
 
+    /** The size of the partial event. */
+    val pendingBytes: Int get() = pending.size
+
     /** Whether the partial event is larger than any event that an engine in order sends. */
     val isTooLarge: Boolean get() = pending.size > MAXIMUM_EVENT_BYTES
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
@@ -24,6 +24,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.concurrent.ScheduledFuture
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
@@ -93,6 +94,9 @@
         if (!isFinished) connection.write(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)), isLast = false)
     }
 
+    /** Waits until the caller has read most of what was sent, or has left. */
+    suspend fun awaitWritable() = connection.awaitWritable()
+
     /** Completes the answer. */
     fun finish() {
         if (isFinished) return
@@ -127,6 +131,7 @@
     private var timer: ScheduledFuture<*>? = null
     private var isClosing = false
     private var lastWrite: ChannelFuture? = null
+    private var writable: CompletableDeferred<Unit>? = null
 
     private class ReceivedRequest(val call: HttpCall, val keepAlive: Boolean)
 
@@ -199,6 +204,21 @@
         if (keepAlive) handleNext() else written.addListener(ChannelFutureListener.CLOSE)
     }
 
+    /** Waits while the caller reads more slowly than answers are written. */
+    suspend fun awaitWritable() {
+        if (channel.isWritable || !channel.isActive) return
+        (writable ?: CompletableDeferred<Unit>().also { writable = it }).await()
+    }
+
+    override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+        if (channel.isWritable) endWait()
+    }
+
+    private fun endWait() {
+        writable?.complete(Unit)
+        writable = null
+    }
+
     /** Closes the connection immediately, also while a request is handled. */
     fun abort() {
         isClosing = true
@@ -251,6 +271,7 @@
         timer?.cancel(false)
         connections -= this
         pipelinedRequests.clear()
+        endWait()
         handlerJob?.cancel()
     }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
@@ -63,6 +63,7 @@
     private var skippedBytes = 0
     private var isReusable = true
     private var isComplete = false
+    private var queuedBytes = 0
 
     /** When the endpoint may close the connection if it stays idle. */
     var idleDeadline: MonotonicTime = MonotonicTime.ZERO
@@ -84,6 +85,7 @@
         parts = answer
         this.isExpected = isExpected
         isComplete = false
+        queuedBytes = 0
         skippedAnswers = 0
         skippedBytes = 0
         val body = if (call.body.isEmpty()) Unpooled.EMPTY_BUFFER else Unpooled.wrappedBuffer(call.body)
@@ -160,7 +162,7 @@
         val answer = parts
         if (isSkipping) return skip(content)
         if (answer == null || isComplete) return
-        if (content.content().isReadable) answer.trySend(AnswerPart.Body(ByteBufUtil.getBytes(content.content())))
+        if (content.content().isReadable) queue(answer, ByteBufUtil.getBytes(content.content()))
         if (content is LastHttpContent) {
             isComplete = true
             answer.trySend(AnswerPart.End)
@@ -168,9 +170,24 @@
         }
     }
 
+    /** Reading pauses while the receiver is behind, so that an answer without end waits at the endpoint. */
+    private fun queue(answer: Parts<AnswerPart>, bytes: ByteArray) {
+        answer.trySend(AnswerPart.Body(bytes))
+        queuedBytes += bytes.size
+        if (queuedBytes > MAXIMUM_QUEUED_BYTES) channel.config().isAutoRead = false
+    }
+
+    /** Records that the receiver has taken [bytes] of the body from [answer]. */
+    fun recordTaken(answer: ReceiveChannel<AnswerPart>, bytes: Int) {
+        if (answer !== parts) return
+        queuedBytes -= bytes
+        if (queuedBytes <= MAXIMUM_QUEUED_BYTES / 2) channel.config().isAutoRead = true
+    }
+
     override fun channelReadComplete(context: ChannelHandlerContext) {
         if (isIdle || !isComplete) return
         parts = null
+        channel.config().isAutoRead = true
         when {
             context.pipeline().get(AnswerDecoder::class.java).hasUnreadBytes -> closeForStrayBytes()
             isReusable && written?.isSuccess == true && channel.isActive -> onIdle(this)
@@ -209,6 +226,9 @@
         /** Interim answers and late answers to earlier requests are few and short. */
         const val MAXIMUM_SKIPPED_ANSWERS = 16
         const val MAXIMUM_SKIPPED_BYTES = 1024 * 1024
+
+        /** More than a packet of most answers. */
+        const val MAXIMUM_QUEUED_BYTES = 64 * 1024
         val BODILESS_METHODS = setOf("GET", "DELETE")
         const val KEEP_ALIVE = "Keep-Alive"
         val TIMEOUT_PARAMETER = Regex("timeout=(\\d+)")
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnections.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnections.kt
@@ -12,7 +12,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.util.NetUtil
-import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlinx.coroutines.withTimeoutOrNull
 import org.nutmegspring.failure.Effect
@@ -20,77 +19,12 @@
 import org.nutmegspring.failure.Peer
 import org.nutmegspring.failure.Step
 import org.nutmegspring.time.MonotonicClock
-import java.io.ByteArrayOutputStream
 import java.net.ConnectException
 import java.net.InetAddress
 import java.net.InetSocketAddress
 import kotlin.coroutines.resume
 import kotlin.time.Duration
 
-/**
- * An answer that is being received.
- *
- * Callers must call [close]. For an incomplete answer it closes the connection, so that the endpoint stops working on
- * the request.
- */
-class OpenAnswer internal constructor(
-    private val connection: EndpointConnection,
-    /** The parts of the answer. */
-    val parts: ReceiveChannel<AnswerPart>,
-) : AutoCloseable {
-    private var isComplete = false
-
-    /**
-     * Reads the rest of the answer of [address]. A body of more than [maximumBytes] is a failure, since an endpoint in
-     * trouble may send bytes without end.
-     */
-    suspend fun readWhole(address: String, maximumBytes: Int = MAXIMUM_BODY_BYTES): Either<Failure, HttpAnswer> {
-        val head = when (val first = next()) {
-            is AnswerPart.Head -> first
-            is AnswerPart.Broken -> return brokenAnswer(address, first.reason).left()
-            is AnswerPart.Body, AnswerPart.End -> return brokenAnswer(address, "an answer without a head").left()
-        }
-        return readBody(address, maximumBytes).map { HttpAnswer(head.status, head.headers, it) }
-    }
-
-    /** Reads the body of the answer of [address], whose head has been read. [maximumBytes] is as for [readWhole]. */
-    suspend fun readBody(address: String, maximumBytes: Int = MAXIMUM_BODY_BYTES): Either<Failure, ByteArray> {
-        val body = ByteArrayOutputStream()
-        while (true) {
-            when (val part = next()) {
-                is AnswerPart.Body -> body.write(part.bytes)
-                is AnswerPart.End -> return body.toByteArray().right()
-                is AnswerPart.Broken -> return brokenAnswer(address, part.reason).left()
-                is AnswerPart.Head -> return brokenAnswer(address, "a second head in one answer").left()
-            }
-            if (body.size() > maximumBytes) {
-                return brokenAnswer(address, "a body larger than $maximumBytes bytes").left()
-            }
-        }
-    }
-
-    private fun brokenAnswer(address: String, reason: String) =
-        Failure(Step.READ_ANSWER, Peer(address), Effect.UNKNOWN, reason)
-
-    /** Waits for the next part. [AnswerPart.End] and [AnswerPart.Broken] are the last one. */
-    suspend fun next(): AnswerPart {
-        val part = parts.receiveCatching().getOrNull() ?: AnswerPart.Broken("connection closed")
-        if (part is AnswerPart.End) isComplete = true
-        return part
-    }
-
-    /** Closes the connection if the answer is incomplete. */
-    override fun close() {
-        if (!isComplete) connection.close()
-    }
-
-    /** Holds the default limit. */
-    companion object {
-        /** The largest body that is read as a whole, as large as the largest request that is accepted. */
-        const val MAXIMUM_BODY_BYTES = 4 * 1024 * 1024
-    }
-}
-
 /** What became of an attempt to open a connection. */
 enum class ConnectionProbe {
     /** A process accepted the connection. */
@@ -103,11 +37,16 @@
     UNANSWERED,
 }
 
-/** Pools connections to endpoints and the platform by address. Not thread-safe: used on the event loop only. */
+/**
+ * Pools connections to endpoints and the platform by address. Not thread-safe: used on the event loop only.
+ *
+ * @property memory counts the bytes of all answers that are held
+ */
 class EndpointConnections(
     private val loop: EventLoop,
     private val clock: MonotonicClock,
     private val connectTimeout: Duration,
+    val memory: AnswerMemory = AnswerMemory(),
 ) {
     private val idle = HashMap<String, ArrayDeque<EndpointConnection>>()
 
@@ -136,7 +75,7 @@
                 is Either.Left -> return connected
                 is Either.Right -> connected.value
             }
-        return OpenAnswer(connection, connection.send(call, isExpected)).right()
+        return OpenAnswer(connection, connection.send(call, isExpected), memory).right()
     }
 
     /** Sends [call] to [address] and returns the complete answer, or a failure if it takes longer than [timeout]. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -208,6 +208,7 @@
         )
         startServer(settings.addresses.metrics, DefaultServerLimits, createMetricsHandler(metrics::scrape))
         gauges.register(metrics)
+        metrics.registerGauge("gateway_running_requests") { running.count.toDouble() }
         startFeeds()
         tasks.start("registration") { registration.run() }
         tasks.start("reports") { exchange.run(::composeReports) }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
@@ -51,6 +51,8 @@
         metrics.registerGauge("gateway_live_peers") { peers.liveReports(clock.now()).size.toDouble() }
         metrics.registerGauge("gateway_connections_opened") { connections.openedCount.toDouble() }
         metrics.registerGauge("gateway_connections_with_stray_bytes") { connections.strayBytesCount.toDouble() }
+        metrics.registerGauge("gateway_answer_held_bytes") { connections.memory.heldBytes.toDouble() }
+        metrics.registerGauge("gateway_answers_without_memory") { connections.memory.refusedCount.toDouble() }
         metrics.registerGauge("gateway_engine_crashes") { crashGuard.crashCount.toDouble() }
         metrics.registerGauge("gateway_quarantined_prompt_parts") { crashGuard.quarantinedCount.toDouble() }
         metrics.registerGauge("gateway_quarantine_refusals") { crashGuard.refusalCount.toDouble() }
