Keep earlier charges when a quota is lowered

Callers saw nothing; an organisation whose quota is lowered a little could use nearly twice of it in one window. Cause: resize discarded all charges, so that the lower quota was full again, as often as it was lowered. Change: until the window has passed, a quota that was lowered goes on to bound what was charged since it held; a raised one replaces those that it exceeds. Why it works: in each window the charges are bounded by the highest quota that held in it.

--- a/decisions/src/main/kotlin/org/nutmegspring/quota/SharedQuota.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/quota/SharedQuota.kt
@@ -69,9 +69,14 @@
     now: MonotonicTime,
     processStartedAt: MonotonicTime? = null,
 ) {
+    /** A rate that was lowered, and counts until [validUntil] for what was charged since [since]. */
+    private class HigherRate(val rate: QuotaRate, val since: MonotonicTime, val validUntil: MonotonicTime)
+
     private class ReceivedCharges(val charges: PeerCharges, val receivedAt: MonotonicTime)
 
     private var rate = rate
+    private var rateSince = now - window
+    private val higherRates = mutableListOf<HigherRate>()
     private var availableShare = 1.0
     private var members = 1
     private val lastReports = HashMap<InstanceId, ReceivedCharges>()
@@ -105,15 +110,33 @@
     /**
      * Changes the rate.
      *
-     * When the quota is lowered, earlier charges are discarded, because they were within the higher quota. The lower
-     * one applies from [now] on.
+     * When the quota is lowered, earlier charges do not count against the lower one, because they were within the
+     * higher one. Until the window has passed, they count against the higher one, together with the charges from [now]
+     * on. A quota that is raised replaces those that it exceeds.
      */
     fun resize(newRate: QuotaRate, now: MonotonicTime) {
         if (newRate == rate) return
-        if (allowance(newRate) < allowance(rate)) charged.clear(now)
+        if (allowance(newRate) < allowance(rate)) {
+            higherRates += HigherRate(rate, rateSince, validUntil = now + window)
+            rateSince = now
+        } else {
+            val replaced = higherRates.filter { allowance(it.rate) <= allowance(newRate) }
+            higherRates -= replaced.toSet()
+            rateSince = replaced.minOfOrNull { it.since } ?: rateSince
+        }
         rate = newRate
     }
 
+    /** Returns what may still be charged at [now], of [share] of each quota that counts, before unreported units. */
+    private fun computeAvailable(share: Double, now: MonotonicTime): Double {
+        higherRates.removeAll { it.validUntil <= now }
+        val earlier = estimatedEarlier.sum(now)
+        val lowest = allowance(rate) * share - charged.sumSince(rateSince, now) - earlier
+        return higherRates.fold(lowest) { available, higher ->
+            minOf(available, allowance(higher.rate) * share - charged.sumSince(higher.since, now) - earlier)
+        }
+    }
+
     /**
      * Records the units that another instance has charged since its previous report.
      *
@@ -173,8 +196,9 @@
     /** Charges [units] at [now] if the organisation stays within its quota. */
     fun charge(units: Long, now: MonotonicTime): QuotaDecision {
         val unseen = computeUnseenShare(now)
-        val limit = allowance(rate) * availableShare * (1 - unseen).coerceAtLeast(MINIMUM_START_SHARE)
-        val available = limit - charged.sum(now) - estimatedEarlier.sum(now) - estimateUnreported(now)
+        val share = availableShare * (1 - unseen).coerceAtLeast(MINIMUM_START_SHARE)
+        val limit = allowance(rate) * share
+        val available = computeAvailable(share, now) - estimateUnreported(now)
         if (available >= minOf(units.toDouble(), limit)) {
             charged.add(units, now)
             chargedUnits += units
--- a/decisions/src/main/kotlin/org/nutmegspring/quota/SlidingSum.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/quota/SlidingSum.kt
@@ -32,6 +32,14 @@
         return sum
     }
 
+    /** Returns the sum of what was added from [begin] to [now], as far as it is in the window. */
+    fun sumSince(begin: MonotonicTime, now: MonotonicTime): Long {
+        advance(now)
+        val first = maxOf(bucketOf(begin), newestBucket - BUCKETS)
+        if (first == newestBucket - BUCKETS) return sum
+        return (first..newestBucket).sumOf { buckets[index(it)] }
+    }
+
     /** Discards everything added before [now]. */
     fun clear(now: MonotonicTime) {
         advance(now)
--- a/decisions/src/test/kotlin/org/nutmegspring/quota/SharedQuotaSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/quota/SharedQuotaSpec.kt
@@ -238,6 +238,38 @@
             assertIs<QuotaDecision.Admitted>(quota.charge(5_000, at(200)))
         }
 
+        // Guards against QUOTA: a quota that was lowered a little admitted nearly twice its units in one window.
+        @Test
+        fun `at most the higher quota is admitted in a window that began before`() {
+            val quota = SharedQuota(rate, window, at(0))
+            repeat(100) { quota.charge(5_000, at(0)) }
+            quota.resize(QuotaRate(unitsPerSecond = 90_000.0, burst = 90_000.0), at(100))
+            val admitted = (0 until 1000).count { quota.charge(5_000, at(200)) == QuotaDecision.Admitted }
+            assertEquals(80, admitted)
+        }
+
+        @Test
+        fun `quotas that are lowered in quick succession admit no more than the first`() {
+            val quota = SharedQuota(rate, window, at(0))
+            var admitted = 0
+            for (step in 0 until 10) {
+                val lowered = 100_000.0 - step * 1_000
+                quota.resize(QuotaRate(lowered, lowered), at(step * 200))
+                admitted += (0 until 1000).count { quota.charge(5_000, at(step * 200 + 100)) == QuotaDecision.Admitted }
+            }
+            assertEquals(180, admitted)
+        }
+
+        @Test
+        fun `a quota that is raised again admits what it allows in the window`() {
+            val quota = SharedQuota(rate, window, at(0))
+            repeat(100) { quota.charge(5_000, at(0)) }
+            quota.resize(lower, at(100))
+            quota.resize(QuotaRate(unitsPerSecond = 200_000.0, burst = 200_000.0), at(200))
+            val admitted = (0 until 1000).count { quota.charge(5_000, at(300)) == QuotaDecision.Admitted }
+            assertEquals(260, admitted)
+        }
+
         @Test
         fun `at most the lower quota is admitted afterwards`() {
             val quota = SharedQuota(rate, window, at(0))
