Log what a planned stop holds, cuts and leaves unanswered

Change: one line for each phase of a planned stop with what the instance holds and what became of requests since it began; bytes, phase and delay of the event loop on the line of a request without a whole answer; a line for a request that was read and never handled. Lines of a stop are written although the log is over its rate. The server's contracts, the exchange and the stop are files of their own.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/GatewayHandler.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/GatewayHandler.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.nutmegspring.gateway.http.CallerExchange
 import org.nutmegspring.gateway.http.RequestHandler
+import org.nutmegspring.gateway.http.UnansweredRequest
 import org.nutmegspring.gateway.observe.DecisionLog
 import org.nutmegspring.gateway.observe.EventLoopDelay
 import org.nutmegspring.gateway.observe.RequestOutcome
@@ -44,12 +45,16 @@
         )
     }
 
+    override fun onUnanswered(request: UnansweredRequest) =
+        recorder.recordUnanswered(dialect.readRequest(request.call.headers).id, request)
+
     private suspend fun charge(exchange: CallerExchange, facts: RequestFacts, admitted: AdmittedRequest) {
         val now = clock.now()
         // The caller counts its time from the moment at which it sent the request, however late that is read.
         val wait = (computeMaximumWait(admitted.route, facts.timeLeft) - loopDelay.readDelay(now))
             .coerceAtLeast(Duration.ZERO)
         if (!running.canAnswerBy(now + wait)) {
+            recorder.recordStopRefusal()
             val refusal = Refusal.Unavailable("the instance stops before the request is sure to end", STOP_RETRY_AFTER)
             return refuse(exchange, facts, admitted, refusal)
         }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/RequestRecorder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/RequestRecorder.kt
@@ -1,11 +1,15 @@
 package org.nutmegspring.gateway.forwarding
 
+import org.nutmegspring.gateway.http.UnansweredRequest
 import org.nutmegspring.gateway.observe.DecisionBasis
 import org.nutmegspring.gateway.observe.DecisionEvent
 import org.nutmegspring.gateway.observe.DecisionLog
+import org.nutmegspring.gateway.observe.EventLoopDelay
 import org.nutmegspring.gateway.observe.GatewayMetrics
+import org.nutmegspring.gateway.observe.PlannedStopLog
 import org.nutmegspring.gateway.observe.RequestOutcome
 import org.nutmegspring.gateway.observe.RequestTrace
+import org.nutmegspring.gateway.observe.StopPhase
 import org.nutmegspring.identity.RequestId
 import org.nutmegspring.time.MonotonicClock
 
@@ -18,10 +22,14 @@
     private val clock: MonotonicClock,
     private val log: DecisionLog,
     private val metrics: GatewayMetrics,
+    private val loopDelay: EventLoopDelay,
+    private val stop: PlannedStopLog,
 ) {
     /** Records the end of [run]. */
     fun record(run: RequestRun, end: RequestEnd) {
         run.trace.elapsedMilliseconds = run.elapsedMilliseconds()
+        run.trace.answerBytes = run.exchange.sentBytes
+        run.trace.unwrittenBytes = run.exchange.unwrittenBytes
         record(run.id, run.admitted, end, run.trace)
     }
 
@@ -29,10 +37,20 @@
     fun recordRefused(id: RequestId?, admitted: AdmittedRequest?, end: RequestEnd) =
         record(id, admitted, end, RequestTrace())
 
+    /** Records that [request], which had [id], was read and got no answer. */
+    fun recordUnanswered(id: RequestId?, request: UnansweredRequest) {
+        stop.recordUnanswered()
+        val event =
+            DecisionEvent.RequestUnanswered(id, request.peer, request.waited, request.isClosedByCaller, createBasis())
+        log.record(event)
+    }
+
+    /** Records that a request was refused because it may outlast the planned stop. */
+    fun recordStopRefusal() = stop.enter(StopPhase.REFUSING)
+
     private fun record(id: RequestId?, admitted: AdmittedRequest?, end: RequestEnd, trace: RequestTrace) {
+        stop.recordEnd(end.outcome)
         metrics.recordEnd(admitted?.route, end.outcome, end.status, trace)
-        val basis =
-            DecisionBasis(currentConfiguration.configuration?.version, currentConfiguration.evidenceAge(clock.now()))
         log.record(
             DecisionEvent.RequestEnded(
                 id,
@@ -42,8 +60,15 @@
                 end.status,
                 end.reason,
                 trace,
-                basis,
+                createBasis(),
             ),
         )
     }
+
+    private fun createBasis() = DecisionBasis(
+        currentConfiguration.configuration?.version,
+        currentConfiguration.evidenceAge(clock.now()),
+        stop.progress,
+        loopDelay.readDelay(clock.now()),
+    )
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
@@ -31,85 +31,7 @@
 import java.io.ByteArrayOutputStream
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
-
-/** The limits on the requests of one server. They are read again for each request, so that changes take effect. */
-interface ServerLimits {
-    /** The maximum size of a request body. */
-    val maximumBodyBytes: Int
-
-    /** The maximum time from the head of a request until its body is complete. */
-    val requestTimeout: Duration
-
-    /** How long a connection without a request stays open. */
-    val idleTimeout: Duration
-
-    /** Whether the process is stopping, so that each connection is closed after its current answer. */
-    val isStopping: Boolean
-}
-
-/** Handles the requests of callers. */
-fun interface RequestHandler {
-    /** Answers [exchange]. The call is cancelled when the caller closes its connection. */
-    suspend fun handle(exchange: CallerExchange)
-}
-
-/** A request of a caller, and the functions that send its answer. */
-class CallerExchange internal constructor(
-    /** The request. */
-    val call: HttpCall,
-    private val connection: CallerConnection,
-) {
-    /** Whether any part of the answer was written. */
-    var isStarted: Boolean = false
-        private set
-    private var isFinished = false
-
-    /** Sends a complete answer. Does nothing when an answer was started before. */
-    fun respond(status: Int, headers: HttpHeaders, body: ByteArray) {
-        if (isStarted) return
-        isStarted = true
-        isFinished = true
-        val response = DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1,
-            HttpResponseStatus.valueOf(status),
-            Unpooled.wrappedBuffer(body),
-        )
-        response.headers().add(headers)
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
-        connection.write(response, isLast = true)
-    }
-
-    /** Sends the head of a chunked answer. Does nothing when an answer was started before. */
-    fun start(status: Int, headers: HttpHeaders) {
-        if (isStarted) return
-        isStarted = true
-        val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
-        response.headers().add(headers)
-        response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
-        connection.write(response, isLast = false)
-    }
-
-    /** Sends a part of the body, unless the answer is finished. */
-    fun send(bytes: ByteArray) {
-        if (!isFinished) connection.write(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)), isLast = false)
-    }
-
-    /** Waits until the caller has read most of what was sent, or has left. */
-    suspend fun awaitWritable() = connection.awaitWritable()
-
-    /** Completes the answer. */
-    fun finish() {
-        if (isFinished) return
-        isFinished = true
-        connection.write(LastHttpContent.EMPTY_LAST_CONTENT, isLast = true)
-    }
-
-    /** Closes the connection, so that the caller does not take an incomplete answer for a complete one. */
-    fun abort() {
-        isFinished = true
-        connection.abort()
-    }
-}
+import kotlin.time.TimeSource
 
 /**
  * The server side of a connection from a caller.
@@ -133,13 +55,25 @@
     private var lastWrite: ChannelFuture? = null
     private var writable: CompletableDeferred<Unit>? = null
 
-    private class ReceivedRequest(val call: HttpCall, val keepAlive: Boolean)
+    private class ReceivedRequest(val call: HttpCall, val keepAlive: Boolean) {
+        val readAt = TimeSource.Monotonic.markNow()
+    }
+
+    /** The number of requests that were read and wait behind the one that is handled. */
+    val queuedCount: Int get() = pipelinedRequests.size
+
+    /** Whether a part of a request was received. */
+    val isReceiving: Boolean get() = incomingHead != null
+
+    /** The bytes that the system has not taken yet. */
+    val unwrittenBytes: Long get() = channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0L
 
     /** Whether a request is being read or answered, or an answer waits for a caller that reads slowly. */
     val isBusy: Boolean
         get() = incomingHead != null || handlerJob != null || pipelinedRequests.isNotEmpty() || !isWritten
 
-    private val isWritten: Boolean get() = lastWrite?.isDone ?: true
+    /** Whether all that was sent has been taken by the system. */
+    val isWritten: Boolean get() = lastWrite?.isDone ?: true
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         channel = context.channel()
@@ -267,6 +201,7 @@
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
+        reportUnanswered()
         isClosing = true
         timer?.cancel(false)
         connections -= this
@@ -275,6 +210,12 @@
         handlerJob?.cancel()
     }
 
+    private fun reportUnanswered() = pipelinedRequests.forEach {
+        val isClosedByCaller = !isClosing && keepAlive
+        val peer = channel.remoteAddress()?.toString().orEmpty()
+        handler.onUnanswered(UnansweredRequest(it.call, peer, it.readAt.elapsedNow(), isClosedByCaller))
+    }
+
     private companion object {
         const val BAD_REQUEST = 400
         const val REQUEST_TIMEOUT = 408
@@ -286,28 +227,3 @@
         const val MAXIMUM_PIPELINED = 8
     }
 }
-
-/**
- * Returns a copy of these headers without the hop-by-hop headers, those that `Connection` names, and the ones that
- * each connection sets itself (`Content-Length`, `Expect`).
- */
-fun HttpHeaders.withoutHopByHopHeaders(): HttpHeaders {
-    val copy = copy()
-    getAll(HttpHeaderNames.CONNECTION).flatMap { it.split(',') }.forEach { copy.remove(it.trim()) }
-    HOP_BY_HOP_HEADERS.forEach { copy.remove(it) }
-    return copy
-}
-
-private val HOP_BY_HOP_HEADERS: List<CharSequence> = listOf(
-    HttpHeaderNames.CONNECTION,
-    "Keep-Alive",
-    "Proxy-Connection",
-    HttpHeaderNames.PROXY_AUTHENTICATE,
-    HttpHeaderNames.PROXY_AUTHORIZATION,
-    HttpHeaderNames.TE,
-    HttpHeaderNames.TRAILER,
-    HttpHeaderNames.TRANSFER_ENCODING,
-    HttpHeaderNames.UPGRADE,
-    HttpHeaderNames.CONTENT_LENGTH,
-    HttpHeaderNames.EXPECT,
-)
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/HttpServer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/HttpServer.kt
@@ -21,6 +21,18 @@
     /** Whether a request is being read or answered, or an answer written, on any connection. */
     val isBusy: Boolean get() = connections.any { it.isBusy }
 
+    /** The number of open connections. */
+    val connectionCount: Int get() = connections.size
+
+    /** The number of connections on which a part of a request was received. */
+    val receivingCount: Int get() = connections.count { it.isReceiving }
+
+    /** The number of requests that were read and wait behind another one. */
+    val queuedCount: Int get() = connections.sumOf { it.queuedCount }
+
+    /** The number of connections on which an answer waits for its caller to read. */
+    val unwrittenCount: Int get() = connections.count { !it.isWritten }
+
     /** Closes the connections on which no request is being read or answered. */
     fun closeIdle() = connections.toList().forEach { it.closeIfIdle() }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -36,6 +36,7 @@
 import org.nutmegspring.gateway.observe.DecisionLog
 import org.nutmegspring.gateway.observe.EventLoopDelay
 import org.nutmegspring.gateway.observe.GatewayMetrics
+import org.nutmegspring.gateway.observe.PlannedStopLog
 import org.nutmegspring.gateway.peers.AddressedReport
 import org.nutmegspring.gateway.peers.InstanceRecord
 import org.nutmegspring.gateway.peers.OwnAddress
@@ -49,7 +50,6 @@
 import org.nutmegspring.lease.LeaseHolder
 import org.nutmegspring.membership.CallerTarget
 import org.nutmegspring.membership.InstancePhase
-import org.nutmegspring.membership.PlannedStop
 import org.nutmegspring.placement.ServicePlacement
 import org.nutmegspring.time.SuspensionAwareClock
 import org.nutmegspring.time.systemMonotonicClock
@@ -125,6 +125,7 @@
     )
     private var phase = InstancePhase.JOINING
     private val servers = mutableListOf<HttpServer>()
+    private val stopLog = PlannedStopLog(clock, loopDelay, log) { servers.readLoad(running.count) }
     private val duties = InstanceDuties(
         initial,
         LeaseHolder(self, incarnation),
@@ -228,23 +229,10 @@
      * is still running at the end gets a final answer.
      */
     suspend fun drain() = withContext(loop.dispatcher) {
-        val startedAt = clock.now()
-        val stop = PlannedStop(startedAt, settings.bounds.stopSeconds.seconds)
-        running.beginStop(stop)
         phase = InstancePhase.DRAINING
-        log.record(DecisionEvent.PhaseChanged("draining", "the process was told to stop"))
-        exchange.send(composeReports())
-        while (stop.isServing(servers.any { it.isBusy }, clock.now())) delay(DRAIN_CHECK)
-        log.record(DecisionEvent.PhaseChanged("ending", "${running.count} requests are still running"))
-        running.endAll()
-        servers.forEach {
-            it.stopListening()
-            it.refuseIncomplete()
-        }
-        while (servers.any { it.isBusy } && clock.now() < stop.exitAt) delay(DRAIN_CHECK)
-        servers.forEach { it.closeIdle() }
-        exchange.send(composeReports())
-        log.record(DecisionEvent.PhaseChanged("stopped", "drained in ${clock.now() - startedAt}"))
+        InstanceStop(servers, running, stopLog, clock) { exchange.send(composeReports()) }
+            .run(settings.bounds.stopSeconds.seconds)
+        log.record(DecisionEvent.PhaseChanged("stopped", "the process ends"))
     }
 
     /** Cancels all tasks and closes the event loop. */
@@ -269,7 +257,7 @@
             running,
             clock,
             loopDelay,
-            RequestRecorder(currentConfiguration, clock, log, metrics),
+            RequestRecorder(currentConfiguration, clock, log, metrics, loopDelay, stopLog),
             log,
             random,
         )
@@ -342,7 +330,6 @@
 
         /** Callers learn of a draining instance within this time, in seconds. */
         const val ADDRESS_KEEP_SECONDS = 2
-        val DRAIN_CHECK = 50.milliseconds
 
         const val DEFAULT_CACHE_TOKENS = 500_000L
         const val MAXIMUM_HEADER_BYTES = 32_768
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
@@ -13,29 +13,14 @@
 import org.nutmegspring.platform.StoreEra
 import kotlin.time.Duration
 
-/** How a request ended. */
-enum class RequestOutcome {
-    /** The endpoint's answer was delivered. */
-    DELIVERED,
-
-    /** The request was refused and did not run. */
-    REFUSED,
-
-    /** The request failed; it may have run. */
-    FAILED,
-
-    /** The answer was interrupted after it had started. */
-    BROKEN_OFF,
-
-    /** The caller disconnected. */
-    ABANDONED,
-}
-
 /** A decision about a request, or a change of the state that decisions rest on. One event is one log line. */
 sealed interface DecisionEvent {
     /** Whether the line is dropped first when the log is over its rate. */
     val isRoutine: Boolean get() = false
 
+    /** Whether the line is written even when the log is over its rate. Only for events of which a process has few. */
+    val isExempt: Boolean get() = false
+
     /** The message of the log line. */
     val name: String
 
@@ -73,6 +58,11 @@
             "prefilledMilliseconds" to trace.prefilledMilliseconds,
             "firstOutputMilliseconds" to trace.firstOutputMilliseconds,
             "elapsedMilliseconds" to trace.elapsedMilliseconds,
+            "answerBytes" to trace.answerBytes.takeIf { outcome.isUndelivered },
+            "unwrittenBytes" to trace.unwrittenBytes.takeIf { outcome.isUndelivered },
+            "stopPhase" to basis.stop?.phase?.name?.lowercase(),
+            "stopMilliseconds" to basis.stop?.elapsed?.inWholeMilliseconds,
+            "loopDelayMilliseconds" to basis.loopDelay.inWholeMilliseconds.takeIf { outcome.isUndelivered },
             "framing" to trace.framing?.name?.lowercase(),
             "configurationVersion" to basis.configurationVersion,
             "evidenceAgeMilliseconds" to basis.evidenceAge?.inWholeMilliseconds,
@@ -84,6 +74,55 @@
         }
     }
 
+    /** A request was read, and its connection ended before it was handled; [isClosedByCaller] tells who ended it. */
+    class RequestUnanswered(
+        private val id: RequestId?,
+        private val peer: String,
+        private val waited: Duration,
+        private val isClosedByCaller: Boolean,
+        private val basis: DecisionBasis,
+    ) : DecisionEvent {
+        override val name: String get() = "request unanswered"
+
+        override fun fields(): Map<String, Any?> = mapOf(
+            "request" to id?.value,
+            "peer" to peer,
+            "waitedMilliseconds" to waited.inWholeMilliseconds,
+            "closedBy" to if (isClosedByCaller) "caller" else "instance",
+            "stopPhase" to basis.stop?.phase?.name?.lowercase(),
+            "stopMilliseconds" to basis.stop?.elapsed?.inWholeMilliseconds,
+            "loopDelayMilliseconds" to basis.loopDelay.inWholeMilliseconds,
+        )
+    }
+
+    /** A planned stop began or reached its next phase. */
+    class StopProgressed(
+        private val progress: StopProgress,
+        private val load: CallerLoad,
+        private val outcomes: StopOutcomes,
+        private val loopDelay: Duration,
+    ) : DecisionEvent {
+        override val isExempt: Boolean get() = true
+        override val name: String get() = "planned stop"
+
+        override fun fields(): Map<String, Any?> = mapOf(
+            "stopPhase" to progress.phase.name.lowercase(),
+            "stopMilliseconds" to progress.elapsed.inWholeMilliseconds,
+            "running" to load.running,
+            "connections" to load.connections,
+            "receiving" to load.receiving,
+            "queued" to load.queued,
+            "unwritten" to load.unwritten,
+            "delivered" to outcomes.delivered,
+            "refused" to outcomes.refused,
+            "failed" to outcomes.failed,
+            "brokenOff" to outcomes.brokenOff,
+            "abandoned" to outcomes.abandoned,
+            "unanswered" to outcomes.unanswered,
+            "loopDelayMilliseconds" to loopDelay.inWholeMilliseconds,
+        )
+    }
+
     /** An attempt to run a request at an endpoint failed. */
     class AttemptFailed(
         private val id: RequestId,
@@ -257,25 +296,6 @@
     }
 }
 
-/**
- * An answer that an engine's side of the connection cut off.
- *
- * @property promptParts the shared parts of the prompt
- * @property events the events of the answer that had arrived whole
- * @property probe whether the engine accepted another connection just afterwards
- */
-class Interruption(
-    val promptParts: List<PromptPartId>,
-    val events: Int,
-    val probe: ConnectionProbe,
-)
-
-/** The configuration version and evidence age on which the decision about a request was based. */
-data class DecisionBasis(
-    val configurationVersion: Long?,
-    val evidenceAge: Duration?,
-)
-
 /**
  * The state of an instance at one time.
  *
@@ -296,39 +316,3 @@
     val endpointEvidenceAge: Duration?,
     val longestLoopDelay: Duration,
 )
-
-/** What marks the end of the body of an endpoint's answer. */
-enum class BodyFraming {
-    /** The length in its head. */
-    LENGTH,
-
-    /** The last chunk. */
-    CHUNKED,
-
-    /** The end of the connection only, so that a crash of the endpoint can look like the end of the body. */
-    CONNECTION,
-}
-
-/** The course of a request: the endpoints tried, the plan and the times. */
-class RequestTrace {
-    /** The endpoints to which the request was sent, in order. */
-    val endpoints = mutableListOf<EndpointId>()
-
-    /** The first plan for the request, or null for a plain service. */
-    var plan: EnginePlan? = null
-
-    /** Number of prompt tokens, or null if the request does not state it. */
-    var promptTokens: Int? = null
-
-    /** When the prefill engine of a handover finished the prompt, in milliseconds since the request was accepted. */
-    var prefilledMilliseconds: Long? = null
-
-    /** Time to the first output, in milliseconds. */
-    var firstOutputMilliseconds: Long? = null
-
-    /** What marks the end of the last answer of an endpoint, or null before one has answered. */
-    var framing: BodyFraming? = null
-
-    /** Time to the end of the request, in milliseconds. */
-    var elapsedMilliseconds: Long = 0
-}
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionLog.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionLog.kt
@@ -13,8 +13,8 @@
 /**
  * Writes events as structured log lines, at most [linesPerSecond] of them.
  *
- * Half of the rate is reserved for events that are not routine, so that failures and refusals take precedence. The
- * number of dropped lines is written as a line of its own.
+ * Half of the rate is reserved for events that are not routine, so that failures and refusals take precedence. Exempt
+ * events are always written. The number of dropped lines is written as a line of its own.
  */
 class BoundedDecisionLog(
     private val clock: MonotonicClock,
@@ -28,11 +28,11 @@
     override fun record(event: DecisionEvent) {
         refill()
         val needed = if (event.isRoutine) linesPerSecond * RESERVED_SHARE else 1.0
-        if (allowance < needed) {
+        if (allowance < needed && !event.isExempt) {
             dropped++
             return
         }
-        allowance--
+        allowance = (allowance - 1).coerceAtLeast(0.0)
         if (dropped > 0 && allowance >= 1) {
             allowance--
             write(DecisionEvent.LinesDropped(dropped))
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/observe/BoundedDecisionLogSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/observe/BoundedDecisionLogSpec.kt
@@ -34,6 +34,13 @@
             assertEquals(40, written.count { !it.isRoutine && it is DecisionEvent.RequestEnded })
         }
 
+        @Test
+        fun `lines about a planned stop are written although the rate is reached`() {
+            repeat(1_000) { log.record(ended(RequestOutcome.FAILED)) }
+            PlannedStopLog(clock, EventLoopDelay(), log) { CallerLoad(0, 0, 0, 0, 0) }.begin()
+            assertEquals(1, written.count { it is DecisionEvent.StopProgressed })
+        }
+
         @Test
         fun `the rate is kept, and the number of dropped lines is written`() {
             repeat(100) {
