Answer requests that arrive behind another one while the process stops

Callers saw: during a planned stop, the second of two requests on one connection got no answer although it was read whole, when the first one's answer was a stream, or when a part of the second one had been received as the first one's answer was sent. Cause: the first head that was sent during a stop announced the end of the connection unless a whole request was queued at that moment. What came later, before the caller could see that head, was read and dropped when the answer ended. Change: the end of a connection is announced with an answer that is complete, when nothing is queued and nothing is being received. The head of a stream does not announce it, since requests may arrive behind it; the connection stays open then, and its next request gets an answer that announces the end.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
@@ -125,9 +125,7 @@
 
     /** Writes [message]; after the last part of an answer, handles the next request or closes the connection. */
     fun write(message: HttpObject, isLast: Boolean) {
-        // While the process stops, requests that were read behind this one are answered before the connection closes.
-        val isClosingAfter = !keepAlive || (limits.isStopping && pipelinedRequests.isEmpty())
-        if (message is HttpResponse && isClosingAfter) {
+        if (message is HttpResponse && (!keepAlive || (isLast && isLastAnswer()))) {
             keepAlive = false
             message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         }
@@ -138,6 +136,12 @@
         if (keepAlive) handleNext() else written.addListener(ChannelFutureListener.CLOSE)
     }
 
+    /**
+     * Whether the connection ends after the answer that is complete now, since the process stops. Not while another
+     * request was read or is being received; and a stream does not tell, since requests may still arrive behind it.
+     */
+    private fun isLastAnswer() = limits.isStopping && pipelinedRequests.isEmpty() && incomingHead == null
+
     /** Waits while the caller reads more slowly than answers are written. */
     suspend fun awaitWritable() {
         if (channel.isWritable || !channel.isActive) return
--- /dev/null
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/http/RequestsBehindAnotherSpec.kt
@@ -0,0 +1,94 @@
+package org.nutmegspring.gateway.http
+
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import java.net.Socket
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+class RequestsBehindAnotherSpec {
+    private val loop = EventLoop()
+    private val scope = CoroutineScope(loop.dispatcher + SupervisorJob())
+    private val firstMayEnd = CompletableDeferred<Unit>()
+    private val limits = object : ServerLimits {
+        override val maximumBodyBytes: Int = 100
+        override var requestTimeout: Duration = 30.seconds
+        override val idleTimeout: Duration = 30.seconds
+        override var isStopping: Boolean = false
+    }
+    private val server = startHttpServer(loop, scope, "127.0.0.1:0", limits, 2_000) { exchange ->
+        when (exchange.call.target) {
+            "/stream" -> {
+                exchange.start(200, DefaultHttpHeaders())
+                exchange.send("part".encodeToByteArray())
+                firstMayEnd.await()
+                exchange.finish()
+            }
+
+            "/slow" -> {
+                firstMayEnd.await()
+                exchange.respond(200, DefaultHttpHeaders(), HttpCall.NO_BODY)
+            }
+
+            else -> {
+                exchange.respond(200, DefaultHttpHeaders(), exchange.call.body)
+            }
+        }
+    }
+    private val caller = Socket("127.0.0.1", server.port).apply { soTimeout = 20_000 }
+
+    @AfterEach
+    fun close() {
+        caller.close()
+        scope.cancel()
+        loop.close()
+    }
+
+    private fun <T> onLoop(block: () -> T): T = runBlocking(loop.dispatcher) { block() }
+
+    private fun send(text: String) = caller.getOutputStream().writeHttp(text)
+
+    private fun waitUntil(condition: () -> Boolean) {
+        while (!onLoop(condition)) Thread.onSpinWait()
+    }
+
+    private fun readStatuses(): List<String> {
+        val answers = caller.getInputStream().readBytes().decodeToString()
+        return Regex("HTTP/1.1 (\\d+)").findAll(answers).map { it.groupValues[1] }.toList()
+    }
+
+    @Nested
+    inner class `given an answer that begins during a planned stop` {
+        // Guards against LOST: a request that arrived behind a stream was read and dropped when the stream ended.
+        @Test
+        fun `a request that arrives behind a stream is answered`() {
+            limits.isStopping = true
+            send("GET /stream HTTP/1.1\nHost: h\n\n")
+            assertEquals("HTTP/1.1 200 OK", caller.getInputStream().readHead().first())
+            send("GET /2 HTTP/1.1\nHost: h\n\n")
+            waitUntil { server.queuedCount == 1 }
+            firstMayEnd.complete(Unit)
+            assertEquals(listOf("200"), readStatuses())
+        }
+
+        // Guards against LOST: a request that was being received was cut off by the end of the answer before it.
+        @Test
+        fun `a request that is being received is answered`() {
+            limits.isStopping = true
+            send("GET /slow HTTP/1.1\nHost: h\n\nPOST /2 HTTP/1.1\nHost: h\nContent-Length: 4\n\nab")
+            waitUntil { server.receivingCount == 1 }
+            firstMayEnd.complete(Unit)
+            assertEquals("HTTP/1.1 200 OK", caller.getInputStream().readHead().first())
+            send("cd")
+            assertEquals(listOf("200"), readStatuses())
+        }
+    }
+}
