Refuse a request that can't be read only after the answers before it

Callers saw: the answer of a whole request was missing when a request behind it on the connection could not be read (malformed, too large or too slow); the refusal came in its place and the connection ended, although an endpoint may have run the request. Cause: a refusal waited for the request that was being handled, not for those that were queued behind that one. Change: a refusal takes its turn in the queue of the connection, and nothing is read behind it. Nothing is read either behind an answer that announced the end of the connection; a request could be handled while that answer was still being written.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
@@ -48,19 +48,28 @@
     private var incomingHead: HttpRequest? = null
     private var body = ByteArrayOutputStream(0)
     private var handlerJob: Job? = null
-    private val pipelinedRequests = ArrayDeque<ReceivedRequest>()
+    private val pending = ArrayDeque<Pending>()
     private var keepAlive = true
     private var timer: ScheduledFuture<*>? = null
+
+    /** Whether no further request is read, because the connection ends after the answers that are due. */
+    private var isEnding = false
     private var isClosing = false
     private var lastWrite: ChannelFuture? = null
     private var writable: CompletableDeferred<Unit>? = null
 
-    private class ReceivedRequest(val call: HttpCall, val keepAlive: Boolean) {
-        val readAt = TimeSource.Monotonic.markNow()
+    /** What was read and waits until the answers before it are complete. */
+    private sealed interface Pending {
+        class Request(val call: HttpCall, val keepAlive: Boolean) : Pending {
+            val readAt = TimeSource.Monotonic.markNow()
+        }
+
+        /** A request that can't be handled, for which the connection ends. */
+        class Rejected(val status: Int) : Pending
     }
 
     /** The number of requests that were read and wait behind the one that is handled. */
-    val queuedCount: Int get() = pipelinedRequests.size
+    val queuedCount: Int get() = pending.size
 
     /** Whether a part of a request was received. */
     val isReceiving: Boolean get() = incomingHead != null
@@ -70,7 +79,7 @@
 
     /** Whether a request is being read or answered, or an answer waits for a caller that reads slowly. */
     val isBusy: Boolean
-        get() = incomingHead != null || handlerJob != null || pipelinedRequests.isNotEmpty() || !isWritten
+        get() = incomingHead != null || handlerJob != null || pending.isNotEmpty() || !isWritten
 
     /** Whether all that was sent has been taken by the system. */
     val isWritten: Boolean get() = lastWrite?.isDone ?: true
@@ -82,7 +91,7 @@
     }
 
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
-        if (isClosing) return
+        if (isClosing || isEnding) return
         val cause = message.decoderResult().cause()
         if (cause != null) return reject(if (cause is TooLongFrameException) HEADERS_TOO_LARGE else BAD_REQUEST)
         if (message is HttpRequest) onHead(message)
@@ -90,7 +99,7 @@
     }
 
     private fun onHead(request: HttpRequest) {
-        if (pipelinedRequests.size >= MAXIMUM_PIPELINED) return reject(BAD_REQUEST)
+        if (pending.size >= MAXIMUM_PIPELINED) return reject(BAD_REQUEST)
         incomingHead = request
         body = ByteArrayOutputStream(0)
         setTimer(limits.requestTimeout) { reject(REQUEST_TIMEOUT) }
@@ -110,13 +119,20 @@
         incomingHead = null
         timer?.cancel(false)
         val call = HttpCall(request.method().name(), request.uri(), request.headers(), body.toByteArray())
-        pipelinedRequests.addLast(ReceivedRequest(call, HttpUtil.isKeepAlive(request)))
+        pending.addLast(Pending.Request(call, HttpUtil.isKeepAlive(request)))
         handleNext()
     }
 
     private fun handleNext() {
         if (handlerJob != null) return
-        val request = pipelinedRequests.removeFirstOrNull() ?: return setTimer(limits.idleTimeout) { close() }
+        when (val next = pending.removeFirstOrNull()) {
+            null -> setTimer(limits.idleTimeout) { close() }
+            is Pending.Request -> handle(next)
+            is Pending.Rejected -> sendRejection(next.status)
+        }
+    }
+
+    private fun handle(request: Pending.Request) {
         keepAlive = request.keepAlive
         val job = scope.launch { handler.handle(CallerExchange(request.call, this@CallerConnection)) }
         handlerJob = job
@@ -133,14 +149,16 @@
         lastWrite = written
         if (!isLast) return
         handlerJob = null
-        if (keepAlive) handleNext() else written.addListener(ChannelFutureListener.CLOSE)
+        if (keepAlive) return handleNext()
+        isEnding = true
+        written.addListener(ChannelFutureListener.CLOSE)
     }
 
     /**
      * Whether the connection ends after the answer that is complete now, since the process stops. Not while another
      * request was read or is being received; and a stream does not tell, since requests may still arrive behind it.
      */
-    private fun isLastAnswer() = limits.isStopping && pipelinedRequests.isEmpty() && incomingHead == null
+    private fun isLastAnswer() = limits.isStopping && pending.isEmpty() && incomingHead == null
 
     /** Waits while the caller reads more slowly than answers are written. */
     suspend fun awaitWritable() {
@@ -178,20 +196,21 @@
         channel.close()
     }
 
+    /** Reads no more, and ends the connection with [status] once the requests before are answered. */
     private fun reject(status: Int) {
-        isClosing = true
+        isEnding = true
         incomingHead = null
+        timer?.cancel(false)
+        pending.addLast(Pending.Rejected(status))
+        handleNext()
+    }
+
+    private fun sendRejection(status: Int) {
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
-        response.headers().set(
-            HttpHeaderNames.CONTENT_LENGTH,
-            0,
-        ).set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-        val job = handlerJob
-        if (job == null) {
-            channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
-        } else {
-            job.invokeOnCompletion { channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE) }
-        }
+        response.headers()
+            .set(HttpHeaderNames.CONTENT_LENGTH, 0)
+            .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        lastWrite = channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
     }
 
     private fun setTimer(delay: Duration, action: () -> Unit) {
@@ -209,12 +228,12 @@
         isClosing = true
         timer?.cancel(false)
         connections -= this
-        pipelinedRequests.clear()
+        pending.clear()
         endWait()
         handlerJob?.cancel()
     }
 
-    private fun reportUnanswered() = pipelinedRequests.forEach {
+    private fun reportUnanswered() = pending.filterIsInstance<Pending.Request>().forEach {
         val isClosedByCaller = !isClosing && keepAlive
         val peer = channel.remoteAddress()?.toString().orEmpty()
         handler.onUnanswered(UnansweredRequest(it.call, peer, it.readAt.elapsedNow(), isClosedByCaller))
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/http/RequestsBehindAnotherSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/http/RequestsBehindAnotherSpec.kt
@@ -91,4 +91,16 @@
             assertEquals(listOf("200"), readStatuses())
         }
     }
+
+    @Nested
+    inner class `given a request that can't be read behind others` {
+        // Guards against LOST: the refusal of a malformed request took the place of the answer before it.
+        @Test
+        fun `the others are answered before it is refused`() {
+            send("GET /slow HTTP/1.1\nHost: h\n\nGET /2 HTTP/1.1\nHost: h\n\nno request at all\n\n")
+            waitUntil { server.queuedCount >= 1 }
+            firstMayEnd.complete(Unit)
+            assertEquals(listOf("200", "200", "400"), readStatuses())
+        }
+    }
 }
