Keep the time limit of a request that is received while another one is answered

Callers saw: a request whose body came slowly behind another request was not refused after the time limit of requests, but cut off without an answer after the idle time of connections. Cause: the end of an answer set the timer of the connection to its idle time, also while a part of the next request was there. Change: the idle time begins only when nothing is being received.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
@@ -126,12 +126,17 @@
     private fun handleNext() {
         if (handlerJob != null) return
         when (val next = pending.removeFirstOrNull()) {
-            null -> setTimer(limits.idleTimeout) { close() }
+            null -> awaitRequest()
             is Pending.Request -> handle(next)
             is Pending.Rejected -> sendRejection(next.status)
         }
     }
 
+    /** Waits for the rest of a request, whose time limit goes on, or for the next one. */
+    private fun awaitRequest() {
+        if (incomingHead == null) setTimer(limits.idleTimeout) { close() }
+    }
+
     private fun handle(request: Pending.Request) {
         keepAlive = request.keepAlive
         val job = scope.launch { handler.handle(CallerExchange(request.call, this@CallerConnection)) }
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/http/RequestsBehindAnotherSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/http/RequestsBehindAnotherSpec.kt
@@ -12,6 +12,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class RequestsBehindAnotherSpec {
@@ -103,4 +104,17 @@
             assertEquals(listOf("200", "200", "400"), readStatuses())
         }
     }
+
+    @Nested
+    inner class `given a request that is being received while another one is answered` {
+        // Guards against CONFIG: the idle time of the connection took the place of the time limit of the request.
+        @Test
+        fun `its time limit goes on`() {
+            limits.requestTimeout = 500.milliseconds
+            send("GET /slow HTTP/1.1\nHost: h\n\nPOST /2 HTTP/1.1\nHost: h\nContent-Length: 4\n\nab")
+            waitUntil { server.receivingCount == 1 }
+            firstMayEnd.complete(Unit)
+            assertEquals(listOf("200", "408"), readStatuses())
+        }
+    }
 }
