Ask for a body that a caller holds back once the answer before it is complete

Callers saw: a request with `Expect: 100-continue` behind a stream was never told to send its body. Cause: the interim answer was written at once, within the stream's answer, where the encoder refuses it; nothing wrote it later. Change: it is written when the answers before it are complete. Evidence: on, the code before, the test fails: no interim answer within 20 s. It passes now.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
@@ -49,6 +49,7 @@
     private var body = ByteArrayOutputStream(0)
     private var handlerJob: Job? = null
     private val pending = ArrayDeque<Pending>()
+    private var isContinueExpected = false
     private var keepAlive = true
     private var timer: ScheduledFuture<*>? = null
 
@@ -104,9 +105,15 @@
         body = ByteArrayOutputStream(0)
         setTimer(limits.requestTimeout) { reject(REQUEST_TIMEOUT) }
         if (HttpUtil.getContentLength(request, 0L) > limits.maximumBodyBytes) return reject(BODY_TOO_LARGE)
-        if (HttpUtil.is100ContinueExpected(request)) {
-            channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
-        }
+        isContinueExpected = HttpUtil.is100ContinueExpected(request)
+        if (handlerJob == null) sendContinue()
+    }
+
+    /** Asks the caller for the body that it holds back, in its turn between the answers. */
+    private fun sendContinue() {
+        if (!isContinueExpected) return
+        isContinueExpected = false
+        channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
     }
 
     private fun onContent(content: HttpContent) {
@@ -134,7 +141,7 @@
 
     /** Waits for the rest of a request, whose time limit goes on, or for the next one. */
     private fun awaitRequest() {
-        if (incomingHead == null) setTimer(limits.idleTimeout) { close() }
+        if (incomingHead == null) setTimer(limits.idleTimeout) { close() } else sendContinue()
     }
 
     private fun handle(request: Pending.Request) {
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/http/RequestsBehindAnotherSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/http/RequestsBehindAnotherSpec.kt
@@ -116,5 +116,20 @@
             firstMayEnd.complete(Unit)
             assertEquals(listOf("200", "408"), readStatuses())
         }
+
+        // Guards against LOST: a caller that asked whether to send its body was not told so behind a stream.
+        @Test
+        fun `its caller is told to send the body after the answer before it`() {
+            send("GET /stream HTTP/1.1\nHost: h\n\n")
+            assertEquals("HTTP/1.1 200 OK", caller.getInputStream().readHead().first())
+            send(
+                "POST /2 HTTP/1.1\nHost: h\nContent-Length: 4\nExpect: 100-continue\nConnection: close\n\n",
+            )
+            waitUntil { server.receivingCount == 1 }
+            firstMayEnd.complete(Unit)
+            while (caller.getInputStream().readHead().none { it.startsWith("HTTP/1.1 100") }) Thread.onSpinWait()
+            send("abcd")
+            assertEquals(listOf("200"), readStatuses())
+        }
     }
 }
