End connections of callers without a reset

Callers saw: when the process ended a connection on which the caller was still sending, the connection was reset. A reset may overtake the answer that was sent just before, so that the caller has none. Cause: a socket that is closed with unread bytes is reset. After the last answer, and at the end of a planned stop, sockets were closed at once. Change: the connection's output ends first; what the caller sends is read and dropped until it closes too, for 0.5 s at most. At the end of a planned stop the process waits for that, within the time line of the stop.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
@@ -4,9 +4,9 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
-import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.SocketChannel
 import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
@@ -31,6 +31,7 @@
 import java.io.ByteArrayOutputStream
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
 
 /**
@@ -88,7 +89,7 @@
     override fun handlerAdded(context: ChannelHandlerContext) {
         channel = context.channel()
         connections += this
-        setTimer(limits.idleTimeout) { close() }
+        setTimer(limits.idleTimeout) { closeGracefully() }
     }
 
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
@@ -141,7 +142,7 @@
 
     /** Waits for the rest of a request, whose time limit goes on, or for the next one. */
     private fun awaitRequest() {
-        if (incomingHead == null) setTimer(limits.idleTimeout) { close() } else sendContinue()
+        if (incomingHead == null) setTimer(limits.idleTimeout) { closeGracefully() } else sendContinue()
     }
 
     private fun handle(request: Pending.Request) {
@@ -163,7 +164,7 @@
         handlerJob = null
         if (keepAlive) return handleNext()
         isEnding = true
-        written.addListener(ChannelFutureListener.CLOSE)
+        written.addListener { closeGracefully() }
     }
 
     /**
@@ -195,7 +196,7 @@
 
     /** Closes the connection if no request is being read or answered. */
     fun closeIfIdle() {
-        if (!isBusy) close()
+        if (!isBusy) closeGracefully()
     }
 
     /** Refuses the request of which a part is still to be read, if any. */
@@ -203,9 +204,15 @@
         if (incomingHead != null && !isClosing) reject(UNAVAILABLE)
     }
 
-    private fun close() {
+    /**
+     * Ends the connection after all that was written. What the caller still sends is read and dropped for a moment, since
+     * unread bytes would turn the end into a reset, which may overtake the last answer.
+     */
+    private fun closeGracefully() {
+        if (isClosing) return
         isClosing = true
-        channel.close()
+        setTimer(LINGER_TIME) { channel.close() }
+        (channel as SocketChannel).shutdownOutput().addListener { if (!it.isSuccess) channel.close() }
     }
 
     /** Reads no more, and ends the connection with [status] once the requests before are answered. */
@@ -222,7 +229,7 @@
         response.headers()
             .set(HttpHeaderNames.CONTENT_LENGTH, 0)
             .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-        lastWrite = channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
+        lastWrite = channel.writeAndFlush(response).addListener { closeGracefully() }
     }
 
     private fun setTimer(delay: Duration, action: () -> Unit) {
@@ -258,6 +265,9 @@
         const val HEADERS_TOO_LARGE = 431
         const val UNAVAILABLE = 503
 
+        /** Several times the time in which a caller learns of the end of its connection. */
+        val LINGER_TIME = 500.milliseconds
+
         /** The maximum number of complete requests queued on one connection behind the one being handled. */
         const val MAXIMUM_PIPELINED = 8
     }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceStop.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceStop.kt
@@ -38,6 +38,7 @@
         }
         while (servers.any { it.isBusy } && clock.now() < stop.exitAt) delay(CHECK_INTERVAL)
         servers.forEach { it.closeIdle() }
+        while (servers.any { it.connectionCount > 0 } && clock.now() < stop.exitAt) delay(CHECK_INTERVAL)
         sendReports()
         stopLog.enter(StopPhase.EXITING)
     }
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/http/RequestsBehindAnotherSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/http/RequestsBehindAnotherSpec.kt
@@ -132,4 +132,19 @@
             assertEquals(listOf("200"), readStatuses())
         }
     }
+
+    @Nested
+    inner class `given a caller that still sends when its answer is complete` {
+        // Guards against LOST: bytes that were not read turned the end of the connection into a reset.
+        @Test
+        fun `the connection ends without a reset`() {
+            send("POST /2 HTTP/1.1\nHost: h\nContent-Length: ${LARGE_BODY.length}\n\n$LARGE_BODY")
+            assertEquals(listOf("413"), readStatuses())
+        }
+    }
+
+    private companion object {
+        /** More than the system buffers for a connection. */
+        val LARGE_BODY = "x".repeat(16 * 1024 * 1024)
+    }
 }
