Take the time that a request waited for its turn off its caller's time

Callers saw: a request that waited behind another one on its connection, or whose body came slowly, was sent to an endpoint with all the time that its caller had given it, although that was over or nearly so; it ran in vain. Cause: the time counted from when the request was handled, not from when it was received. Change: the time since its head was read is taken off. A request whose time is over is refused as not run. Evidence: on the code before, LateHandledRequestSpec fails: expected [504, 503], but was [504, 200], with two requests at the endpoint. It passes now.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/GatewayHandler.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/GatewayHandler.kt
@@ -50,9 +50,9 @@
 
     private suspend fun charge(exchange: CallerExchange, facts: RequestFacts, admitted: AdmittedRequest) {
         val now = clock.now()
-        // The caller counts its time from the moment at which it sent the request, however late that is read.
-        val wait = (computeMaximumWait(admitted.route, facts.timeLeft) - loopDelay.readDelay(now))
-            .coerceAtLeast(Duration.ZERO)
+        // The caller counts its time from when it sent the request, however late that is read and handled.
+        val spent = loopDelay.readDelay(now) + exchange.timeSinceHead
+        val wait = (computeMaximumWait(admitted.route, facts.timeLeft) - spent).coerceAtLeast(Duration.ZERO)
         if (!running.canAnswerBy(now + wait)) {
             recorder.recordStopRefusal()
             val refusal = Refusal.Unavailable("the instance stops before the request is sure to end", STOP_RETRY_AFTER)
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.FullHttpResponse
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
@@ -32,6 +33,7 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeMark
 import kotlin.time.TimeSource
 
 /**
@@ -47,6 +49,7 @@
 ) : SimpleChannelInboundHandler<HttpObject>() {
     private lateinit var channel: Channel
     private var incomingHead: HttpRequest? = null
+    private var headReadAt: TimeMark = TimeSource.Monotonic.markNow()
     private var body = ByteArrayOutputStream(0)
     private var handlerJob: Job? = null
     private val pending = ArrayDeque<Pending>()
@@ -62,7 +65,7 @@
 
     /** What was read and waits until the answers before it are complete. */
     private sealed interface Pending {
-        class Request(val call: HttpCall, val keepAlive: Boolean) : Pending {
+        class Request(val call: HttpCall, val keepAlive: Boolean, val headReadAt: TimeMark) : Pending {
             val readAt = TimeSource.Monotonic.markNow()
         }
 
@@ -103,6 +106,7 @@
     private fun onHead(request: HttpRequest) {
         if (pending.size >= MAXIMUM_PIPELINED) return reject(BAD_REQUEST)
         incomingHead = request
+        headReadAt = TimeSource.Monotonic.markNow()
         body = ByteArrayOutputStream(0)
         setTimer(limits.requestTimeout) { reject(REQUEST_TIMEOUT) }
         if (HttpUtil.getContentLength(request, 0L) > limits.maximumBodyBytes) return reject(BODY_TOO_LARGE)
@@ -127,7 +131,7 @@
         incomingHead = null
         timer?.cancel(false)
         val call = HttpCall(request.method().name(), request.uri(), request.headers(), body.toByteArray())
-        pending.addLast(Pending.Request(call, HttpUtil.isKeepAlive(request)))
+        pending.addLast(Pending.Request(call, HttpUtil.isKeepAlive(request), headReadAt))
         handleNext()
     }
 
@@ -147,15 +151,16 @@
 
     private fun handle(request: Pending.Request) {
         keepAlive = request.keepAlive
-        val job = scope.launch { handler.handle(CallerExchange(request.call, this@CallerConnection)) }
+        val exchange = CallerExchange(request.call, this, request.headReadAt)
+        val job = scope.launch { handler.handle(exchange) }
         handlerJob = job
         job.invokeOnCompletion { cause -> if (cause != null && cause !is CancellationException) abort() }
     }
 
     /** Writes [message]; after the last part of an answer, handles the next request or closes the connection. */
     fun write(message: HttpObject, isLast: Boolean) {
-        if (message is HttpResponse && (!keepAlive || (isLast && isLastAnswer()))) {
-            keepAlive = false
+        if (message is FullHttpResponse && isLastAnswer()) keepAlive = false
+        if (message is HttpResponse && !keepAlive) {
             message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         }
         val written = channel.writeAndFlush(message)
@@ -205,8 +210,8 @@
     }
 
     /**
-     * Ends the connection after all that was written. What the caller still sends is read and dropped for a moment, since
-     * unread bytes would turn the end into a reset, which may overtake the last answer.
+     * Ends the connection after all that was written. What the caller still sends is read and dropped for a moment,
+     * since unread bytes would turn the end into a reset, which may overtake the last answer.
      */
     private fun closeGracefully() {
         if (isClosing) return
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerExchange.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerExchange.kt
@@ -10,13 +10,19 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import kotlin.time.Duration
+import kotlin.time.TimeMark
 
 /** A request of a caller, and the functions that send its answer. */
 class CallerExchange internal constructor(
     /** The request. */
     val call: HttpCall,
     private val connection: CallerConnection,
+    private val headReadAt: TimeMark,
 ) {
+    /** The time since the head of the request was read: while its body was read and while it waited for its turn. */
+    val timeSinceHead: Duration get() = headReadAt.elapsedNow()
+
     /** Whether any part of the answer was written. */
     var isStarted: Boolean = false
         private set
