Take a head that its endpoint cuts off for a disconnect

Callers saw nothing wrong in their own answer: an answer that ends within its head was a failure before, too. But an engine that crashes while it writes the head left no evidence for the quarantine of the prompt part, so that the prompt was tried at the next engine at once.

Cause: the decoder reports a close within the headers as a message that can't be read, before the connection is seen to be closed, and every such message was recorded as "unreadable answer", not as a disconnect. A close within the status line, and a reset, were recorded as disconnects.

Not shown: a whole quarantine that comes too late for this reason.

Fix: the decoder's failure for this case has a class of its own, which now counts as a disconnect.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.handler.codec.PrematureChannelClosureException
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -111,7 +112,11 @@
     fun close() = fail("closed by this instance")
 
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
-        if (message.decoderResult().isFailure) return fail("unreadable answer: ${message.decoderResult().cause()}")
+        when (val cause = message.decoderResult().cause()) {
+            null -> Unit
+            is PrematureChannelClosureException -> return fail("connection closed within a head", isDisconnect = true)
+            else -> return fail("unreadable answer: $cause")
+        }
         if (message is HttpResponse) onHead(message)
         if (message is HttpContent) onContent(message)
     }
