Read answers to HEAD requests, which have no body

Callers saw a 502 or, on a connection that the endpoint keeps, a 504 at the timeout of the route instead of the endpoint's answer, if its head names a length or chunks.

Cause: the decoder did not know the method of the request, and waited for a body.

Evidence: on the code without the fix, 2 of the 262 cases with a HEAD request failed in each of the three ways of delivery: the whole answer with a length and the one in chunks were broken off ("connection closed"). That a kept connection ends in a timeout follows from the code and was not run.

Fix: the connection tells the decoder whether its request is a HEAD request.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/AnswerDecoder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/AnswerDecoder.kt
@@ -3,6 +3,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelPipeline
+import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
@@ -17,6 +18,12 @@
 internal class AnswerDecoder : HttpResponseDecoder() {
     /** Whether bytes were received that are part of no message yet. */
     val hasUnreadBytes: Boolean get() = actualReadableBytes() > 0
+
+    /** Whether the answers are to a HEAD request, so that they have no body whatever their headers say. */
+    var isAnsweringHead = false
+
+    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
+        isAnsweringHead || super.isContentAlwaysEmpty(message)
 }
 
 /** Closes a connection on which bytes arrive while it carries no request, before they can become part of an answer. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
@@ -95,6 +95,7 @@
         if (call.body.isNotEmpty() || call.method !in BODILESS_METHODS) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body.size)
         }
+        channel.pipeline().get(AnswerDecoder::class.java).isAnsweringHead = call.method == HttpMethod.HEAD.name()
         // A failed write closes the connection without an exception, which would look like the end of the answer.
         written = channel.writeAndFlush(request).addListener { sent ->
             if (!sent.isSuccess) fail("the request was not sent whole: ${sent.cause()?.message}", isDisconnect = true)
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/http/TruncatedHeadSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/http/TruncatedHeadSpec.kt
@@ -26,12 +26,13 @@
     @AfterEach
     fun closeLoop() = loop.close()
 
-    /** An answer. [content] is its body without the marks of chunks. */
+    /** An answer to a request with [method]. [content] is its body without the marks of chunks. */
     enum class Answer(
         head: String,
         body: String = "",
         val content: String = body,
         val isEndedByClose: Boolean = false,
+        val method: String = "GET",
     ) {
         LENGTH("HTTP/1.1 200 OK\nRequest: 1\nContent-Length: 4\n\n", "body"),
         CHUNKS("HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n", "4\nbody\n0\nChecksum: 1\n\n", "body"),
@@ -45,6 +46,9 @@
             isEndedByClose = true,
         ),
         FAILURE("HTTP/1.1 503 Service Unavailable\nNot-Executed: 1\nContent-Length: 4\n\n", "busy"),
+        HEAD_LENGTH("HTTP/1.1 200 OK\nRequest: 1\nContent-Length: 4\n\n", method = "HEAD"),
+        HEAD_CHUNKS("HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n", method = "HEAD"),
+        HEAD_CLOSE("HTTP/1.1 200 OK\nRequest: 1\n\n", method = "HEAD"),
         ;
 
         val headLength = head.replace("\n", LINE_END).length
@@ -59,7 +63,7 @@
             if (answer.isEndedByClose) length >= answer.headLength && !isReset else length == answer.bytes.size
         private val content =
             if (answer.isEndedByClose) answer.content.take(maxOf(0, length - answer.headLength)) else answer.content
-        private val call = HttpCall("GET", "/x").also { it.headers.set("Host", "h") }
+        private val call = HttpCall(answer.method, "/x").also { it.headers.set("Host", "h") }
 
         fun check(delivery: Delivery) {
             val parts = if (delivery == Delivery.BYTE_BY_BYTE) receiveByteByByte() else receive(delivery)
