--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.handler.codec.PrematureChannelClosureException
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -94,6 +95,7 @@
         if (call.body.isNotEmpty() || call.method !in BODILESS_METHODS) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body.size)
         }
+        channel.pipeline().get(AnswerDecoder::class.java).isAnsweringHead = call.method == HttpMethod.HEAD.name()
         // A failed write closes the connection without an exception, which would look like the end of the answer.
         written = channel.writeAndFlush(request).addListener { sent ->
             if (!sent.isSuccess) fail("the request was not sent whole: ${sent.cause()?.message}", isDisconnect = true)
@@ -111,7 +113,11 @@
     fun close() = fail("closed by this instance")
 
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
-        if (message.decoderResult().isFailure) return fail("unreadable answer: ${message.decoderResult().cause()}")
+        when (val cause = message.decoderResult().cause()) {
+            null -> Unit
+            is PrematureChannelClosureException -> return fail("connection closed within a head", isDisconnect = true)
+            else -> return fail("unreadable answer: $cause")
+        }
         if (message is HttpResponse) onHead(message)
         if (message is HttpContent) onContent(message)
     }
