Handle signals from the start of a gateway process on

Callers: SIGTERM to a gateway that listened already, but had just been started, cut their connections off: the process ended at once with exit code 143, without withdrawal or final answers.

Cause: the handlers were installed after the settings were read and the servers started, and the time of the last change was read after that too.

Evidence, on the code before: SignalsDuringStartSpec fails in 4 of 4 tests. SIGTERM while the settings are read: "expected: <0> but was: <143>". SIGHUP then ends the process. Of the processes signalled at every 20 ms, 7 that listened ended with 143 (1) or 129 (6), 1.46 to 2.12 s after their start. A file replaced after its reading was not read again within 180 s.

Fix: ProcessSignals handles the signals from the first statement of main on and keeps what they ask for; the command takes it after the start, a stop first. A stop before the process listens ends it without starting. The time of change is read before the file.

The JVM's own start, 0.11 to 0.17 s on a loaded machine, remains.

--- a/command-line/src/main/kotlin/org/nutmegspring/commandline/CommandLine.kt
+++ b/command-line/src/main/kotlin/org/nutmegspring/commandline/CommandLine.kt
@@ -10,10 +10,11 @@
 import org.nutmegspring.node.settings.findNearestName
 import java.io.PrintStream
 
-/** Where commands print, and how they ended. */
+/** Where commands print, what signals ask of them, and how they ended. */
 class CommandContext(
     val out: PrintStream,
     val err: PrintStream,
+    val signals: ProcessSignals = ProcessSignals(),
 ) {
     /** The exit code of the command that ran. */
     var exitCode: ExitCode = ExitCode.SUCCESS
@@ -30,10 +31,11 @@
 class CommandLine(
     private val out: PrintStream,
     private val err: PrintStream,
+    private val signals: ProcessSignals = ProcessSignals(),
 ) {
     /** Runs the command that [arguments] name. */
     fun run(arguments: List<String>): ExitCode {
-        val context = CommandContext(out, err)
+        val context = CommandContext(out, err, signals)
         val commands = CommandProvider().commands(context)
         val names = commands.map { it.name }
         val first = arguments.firstOrNull()
--- a/command-line/src/main/kotlin/org/nutmegspring/commandline/GatewayCommand.kt
+++ b/command-line/src/main/kotlin/org/nutmegspring/commandline/GatewayCommand.kt
@@ -14,40 +14,35 @@
 import org.nutmegspring.gateway.observe.configureGatewayLogs
 import org.nutmegspring.gateway.settings.GatewaySettingsLoader
 import org.nutmegspring.time.systemMonotonicClock
-import sun.misc.Signal
 import java.io.File
-import java.util.concurrent.CountDownLatch
-import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.seconds
 
 /** Runs an instance of the gateway until it is told to stop. */
 @OptIn(ExperimentalCli::class)
 class GatewayCommand(private val context: CommandContext) :
-    Subcommand("gateway", "Runs an instance between callers and the platform's endpoints") {
+    Subcommand(GATEWAY_COMMAND, "Runs an instance between callers and the platform's endpoints") {
     private val settingsFile by option(ArgType.String, "settings", "s", "Settings file in YAML").required()
 
     override fun execute() {
-        val file = File(settingsFile)
-        GatewaySettingsLoader().load(file).fold(
+        val file = SettingsFile(File(settingsFile))
+        GatewaySettingsLoader().load(file.file).fold(
             { problems -> problems.forEach { context.fail(it.toString(), ExitCode.USAGE) } },
             { settings ->
                 configureGatewayLogs()
                 val log = BoundedDecisionLog(systemMonotonicClock(), settings.logs.linesPerSecond)
-                val instance = startGateway(settings, log, ::createPlatformAdapter)
-                runUntilStopped(instance, file, log)
+                val instance = startGateway(settings, log, ::createPlatformAdapter, context.signals::isStopRequested)
+                if (instance != null) runUntilStopped(instance, file, log)
             },
         )
     }
 
-    private fun runUntilStopped(instance: GatewayInstance, file: File, log: DecisionLog) {
-        val stop = CountDownLatch(1)
-        Signal.handle(Signal("TERM")) { stop.countDown() }
-        Signal.handle(Signal("INT")) { stop.countDown() }
-        Signal.handle(Signal("HUP")) { reload(instance, file, log) }
-        var changedAt = file.lastModified()
-        while (!stop.await(FILE_CHECK_MILLISECONDS, TimeUnit.MILLISECONDS)) {
-            val modified = file.lastModified()
-            if (modified != changedAt) reload(instance, file, log)
-            changedAt = modified
+    private fun runUntilStopped(instance: GatewayInstance, file: SettingsFile, log: DecisionLog) {
+        while (true) {
+            val request = context.signals.await(FILE_CHECK_INTERVAL)
+            if (request == SignalRequest.STOP) break
+            // Looked at on a signal too, so that the change it announces is not read twice.
+            val hasChanged = file.hasChanged()
+            if (request == SignalRequest.RELOAD || hasChanged) reload(instance, file.file, log)
         }
         runBlocking { instance.drain() }
         instance.close()
@@ -62,6 +57,9 @@
 
     private companion object {
         /** How often the settings file is looked at; it may change without a signal. */
-        const val FILE_CHECK_MILLISECONDS = 2000L
+        val FILE_CHECK_INTERVAL = 2.seconds
     }
 }
+
+/** The name of [GatewayCommand]. */
+internal const val GATEWAY_COMMAND = "gateway"
--- a/command-line/src/test/kotlin/org/nutmegspring/commandline/process/ProductProcess.kt
+++ b/command-line/src/test/kotlin/org/nutmegspring/commandline/process/ProductProcess.kt
@@ -3,6 +3,7 @@
 import java.io.BufferedReader
 import java.io.File
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.TimeUnit
 
 /** A process of the product, started from the class path of the tests. */
@@ -11,6 +12,7 @@
         .redirectError(ProcessBuilder.Redirect.appendTo(log))
         .start()
     private val firstLine = CompletableFuture<String>()
+    private val lines = CopyOnWriteArrayList<String>()
 
     init {
         Thread { read(process.inputStream.bufferedReader()) }.apply { isDaemon = true }.start()
@@ -35,10 +37,25 @@
     /** Waits until the process has ended by itself and returns whether it has. */
     fun awaitEnd(): Boolean = process.waitFor(END_LIMIT_SECONDS, TimeUnit.SECONDS)
 
+    /** Waits until the process has ended by itself and returns its exit code. */
+    fun exitCode(): Int {
+        check(awaitEnd()) { "the process did not end" }
+        return process.exitValue()
+    }
+
+    /** Whether the process runs. */
+    val isAlive: Boolean get() = process.isAlive
+
+    /** Whether a line with [text] was printed. */
+    fun hasPrinted(text: String): Boolean = lines.any { text in it }
+
     override fun close() = kill()
 
     private fun read(reader: BufferedReader) {
-        reader.forEachLine { if (!firstLine.isDone) firstLine.complete(it) }
+        reader.forEachLine {
+            if (!firstLine.isDone) firstLine.complete(it)
+            lines.add(it)
+        }
         firstLine.completeExceptionally(IllegalStateException("the process ended without telling its addresses"))
     }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayStart.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayStart.kt
@@ -15,10 +15,23 @@
  *
  * @throws java.net.BindException when an address is in use; nothing of the instance keeps running then
  */
-fun startGateway(settings: GatewaySettings, log: DecisionLog, platformFactory: PlatformFactory): GatewayInstance {
+fun startGateway(settings: GatewaySettings, log: DecisionLog, platformFactory: PlatformFactory): GatewayInstance =
+    checkNotNull(startGateway(settings, log, platformFactory) { false })
+
+/**
+ * Starts an instance as above, unless [isStopRequested] returns true just before it would listen. Returns null then, and
+ * nothing of the instance keeps running.
+ */
+fun startGateway(
+    settings: GatewaySettings,
+    log: DecisionLog,
+    platformFactory: PlatformFactory,
+    isStopRequested: () -> Boolean,
+): GatewayInstance? {
     val instance = GatewayInstance(settings, platformFactory, log)
     var isStarted = false
     try {
+        if (isStopRequested()) return null
         instance.start()
         isStarted = true
         return instance
