--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayStart.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayStart.kt
@@ -19,8 +19,8 @@
     checkNotNull(startGateway(settings, log, platformFactory) { false })
 
 /**
- * Starts an instance as above, unless [isStopRequested] returns true just before it would listen. Returns null then, and
- * nothing of the instance keeps running.
+ * Starts an instance as above, unless [isStopRequested] returns true just before it would listen. Returns null then,
+ * and nothing of the instance keeps running.
  */
 fun startGateway(
     settings: GatewaySettings,
