Read answers to orders whole, in every framing

Seen by callers: an order to an engine, or a usage report, counted as accepted although the answer had been cut short in its head (ORDER), and an answer in chunks was read as an empty one.

Cause: HttpConnection left the head to Ktor's parser, which takes the end of the connection for the empty line at the end of the head and then drops all headers. An answer without a length, in chunks or after an interim head, was read as an empty body.

Fix: the head is read up to its empty line before it is parsed, interim heads are skipped, and the body is read by its framing. A connection that ends earlier is a failure. An answer that has neither a length nor chunks ends with its connection, and a reset there is a failure.

--- a/node/src/main/kotlin/org/nutmegspring/node/control/HttpConnection.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/control/HttpConnection.kt
@@ -5,20 +5,23 @@
 import arrow.core.right
 import io.ktor.http.HttpMethod
 import io.ktor.http.cio.RequestResponseBuilder
-import io.ktor.http.cio.parseResponse
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
-import io.ktor.utils.io.readByteArray
 import io.ktor.utils.io.writePacket
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.io.Buffer
+import kotlinx.io.readString
 import org.nutmegspring.failure.Effect
 import org.nutmegspring.failure.Failure
 import org.nutmegspring.failure.Peer
 import org.nutmegspring.failure.Step
+import org.nutmegspring.node.http.framing
+import org.nutmegspring.node.http.readAnswerBody
+import org.nutmegspring.node.http.readAnswerHead
 import kotlin.time.Duration
 
 /** The answer to a request sent on an [HttpConnection]. */
@@ -56,7 +59,7 @@
             val request = buildRequest(method, path, body?.encodeToByteArray())
             output.writePacket(request)
             output.flush()
-            readAnswer()
+            readAnswer(method)
         }
 
     override fun close() = socket.close()
@@ -72,12 +75,11 @@
         if (body != null) bytes(body)
     }.build()
 
-    private suspend fun readAnswer(): HttpAnswer {
-        val response = parseResponse(input) ?: error("the peer closed the connection without an answer")
-        return response.use {
-            val length = response.headers["Content-Length"]?.toString()?.toInt() ?: 0
-            HttpAnswer(response.status, input.readByteArray(length).decodeToString())
-        }
+    private suspend fun readAnswer(method: HttpMethod): HttpAnswer {
+        val head = input.readAnswerHead()
+        val body = Buffer()
+        input.readAnswerBody(head.framing(method)) { bytes, count -> body.write(bytes, 0, count) }
+        return HttpAnswer(head.status.value, body.readString())
     }
 
     companion object {
