Fail answers of endpoints that are cut short

Seen by callers: a plain service that stopped in the head of its answer and closed gave its caller a 200 with an empty body, framed as whole (MIXED); one that stopped within its chunks gave a short body. An interim head (103) was returned as the answer, and a stream or a load report after one was a failure.

Cause: Ktor's CIO client takes the end of the connection for the end of the head and drops the headers, and ends the channel of a cut body without a cause. ServiceClient's limited read also passes over the cause where there is one.

Fix: a client engine on sockets that reads the head up to its empty line and the body by its framing, as HttpConnection does. Each request has a connection of its own.

--- a/node/src/main/kotlin/org/nutmegspring/node/engine/EndpointHttp.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/engine/EndpointHttp.kt
@@ -1,33 +1,20 @@
 package org.nutmegspring.node.engine
 
 import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
-import io.ktor.client.engine.cio.endpoint
 import io.ktor.client.plugins.HttpTimeout
 import io.ktor.client.request.HttpRequestBuilder
 import io.opentelemetry.context.Context
+import org.nutmegspring.node.http.SocketEngine
 import org.nutmegspring.node.observe.Telemetry
 import org.nutmegspring.node.settings.EndpointSettings
 
-private const val MAXIMUM_CONNECTIONS = 20_000
-private const val KEEP_ALIVE_MILLISECONDS = 10_000L
-
 /**
  * Returns the HTTP client for calls to endpoints. [settings] limit the time to connect and the time between two
  * received packets; there is no limit for a request as a whole.
  */
-fun createEndpointHttpClient(settings: EndpointSettings): HttpClient = HttpClient(CIO) {
+fun createEndpointHttpClient(settings: EndpointSettings): HttpClient = HttpClient(SocketEngine) {
     expectSuccess = false
     followRedirects = false
-    engine {
-        maxConnectionsCount = MAXIMUM_CONNECTIONS
-        requestTimeout = 0
-        endpoint {
-            maxConnectionsPerRoute = MAXIMUM_CONNECTIONS
-            keepAliveTime = KEEP_ALIVE_MILLISECONDS
-            connectTimeout = settings.connectTimeoutMilliseconds
-        }
-    }
     install(HttpTimeout) {
         connectTimeoutMillis = settings.connectTimeoutMilliseconds
         socketTimeoutMillis = settings.silenceTimeoutMilliseconds
--- a/node/src/main/kotlin/org/nutmegspring/node/engine/ServiceClient.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/engine/ServiceClient.kt
@@ -99,7 +99,10 @@
         if (!isOwnAnswer(id, answeredId)) {
             return Failure(Step.READ_ANSWER, peer, Effect.UNKNOWN, "answer to another request").left()
         }
-        val body = response.bodyAsChannel().readRemaining(maximumAnswerBytes + 1).readByteArray()
+        val channel = response.bodyAsChannel()
+        val body = channel.readRemaining(maximumAnswerBytes + 1).readByteArray()
+        // A limited read ends without an error where the answer breaks off.
+        channel.closedCause?.let { throw it }
         if (body.size > maximumAnswerBytes) {
             val message = "the answer is larger than $maximumAnswerBytes bytes"
             return Failure(Step.READ_ANSWER, peer, Effect.UNKNOWN, message).left()
