--- a/node/src/test/kotlin/org/nutmegspring/node/http/CutAnswer.kt
+++ b/node/src/test/kotlin/org/nutmegspring/node/http/CutAnswer.kt
@@ -16,6 +16,9 @@
     val head = head.replace("\n", "\r\n").encodeToByteArray()
     val answer = this.head + body.encodeToByteArray()
 
+    /** Whether an interim head comes before that of the answer. */
+    val hasInterimHead get() = "Early Hints" in answer.decodeToString()
+
     /** The numbers of bytes after which the answer, cut there, is not whole. */
     val cuts: IntRange get() = 0 until if (endsWithConnection) head.size else answer.size
 
