Fail replies to administration commands that are cut short

Seen by callers: `admin` took a reply in chunks that had broken off for a whole one and ended with success, with an empty reply or without its end (CONFIG). One shorter than its length ended the command with an IllegalStateException.

Cause: the same as for endpoints, Ktor's CIO client.

Evidence: CutAdministrationReplySpec on the code before: a reply in chunks cut after 79 and 98 bytes (after the head, and after the chunk) counted as whole; with a length, "Content-Length mismatch" as an IllegalStateException, which AdminCommand does not catch.

Fix: the client engine of the endpoints, which fails with an IOException. The calls of the demo use it too; they have no test of their own for it.

Result: CutAdministrationReplySpec passes at every byte in 3.5 s on a shared machine.

--- a/command-line/src/main/kotlin/org/nutmegspring/commandline/administration/AdministrationClient.kt
+++ b/command-line/src/main/kotlin/org/nutmegspring/commandline/administration/AdministrationClient.kt
@@ -1,7 +1,6 @@
 package org.nutmegspring.commandline.administration
 
 import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
 import io.ktor.client.plugins.HttpTimeout
 import io.ktor.client.request.header
 import io.ktor.client.request.request
@@ -9,6 +8,7 @@
 import io.ktor.client.statement.bodyAsText
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpMethod
+import org.nutmegspring.node.http.SocketEngine
 
 /** One call of the administration API. [path] follows `/admin/v1/`. */
 internal data class AdministrationCall(
@@ -36,7 +36,7 @@
     private val address: String,
     private val token: String,
 ) : AutoCloseable {
-    private val client = HttpClient(CIO) {
+    private val client = HttpClient(SocketEngine) {
         install(HttpTimeout) { requestTimeoutMillis = REQUEST_TIMEOUT_MILLISECONDS }
     }
 
--- a/command-line/src/main/kotlin/org/nutmegspring/commandline/demo/DemoCalls.kt
+++ b/command-line/src/main/kotlin/org/nutmegspring/commandline/demo/DemoCalls.kt
@@ -1,7 +1,6 @@
 package org.nutmegspring.commandline.demo
 
 import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
 import io.ktor.client.request.get
 import io.ktor.client.request.header
 import io.ktor.client.request.post
@@ -14,6 +13,7 @@
 import io.ktor.http.contentType
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
+import org.nutmegspring.node.http.SocketEngine
 import java.io.PrintStream
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -24,7 +24,7 @@
     private val key: String,
     private val out: PrintStream,
 ) : AutoCloseable {
-    private val client = HttpClient(CIO)
+    private val client = HttpClient(SocketEngine)
 
     /** Returns whether every call was answered as expected. */
     suspend fun run(): Boolean {
