Open the callers' address after all others

Callers: an instance whose start failed, since one of its other addresses was in use, had accepted connections before and cut them off.

Cause: the callers' address was opened first, before readiness, address answers, metrics and the exchange with other instances, on which requests depend.

Evidence, on the code before: FailedStartSpec, 20 starts with the metrics address in use, "expected: <0> but was: <1041>" accepted connections.

Fix: the exchange and the other servers are opened first, the callers' address last. Feeds, registration and duties begin after all addresses are open, as before.

Measured: FailedStartSpec passes.

--- a/command-line/src/test/kotlin/org/nutmegspring/commandline/process/GatewaySite.kt
+++ b/command-line/src/test/kotlin/org/nutmegspring/commandline/process/GatewaySite.kt
@@ -42,8 +42,11 @@
     /** Whether callers can open a connection. */
     val isListening: Boolean
         get() = try {
-            Socket().use { it.connect(InetSocketAddress(HOST, callers)) }
-            true
+            Socket().use {
+                it.connect(InetSocketAddress(HOST, callers))
+                // The system may connect a socket to itself when it takes the same port for both ends.
+                it.localPort != callers
+            }
         } catch (_: ConnectException) {
             false
         }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -193,23 +193,22 @@
 
     internal fun start() {
         log.record(DecisionEvent.PhaseChanged("starting", "instance $self, incarnation $incarnation"))
-        val limits =
-            CallerServerLimits({ currentConfiguration.configuration?.limits }, { phase == InstancePhase.DRAINING })
-        startServer(settings.addresses.callers, limits, createGatewayHandler())
-        startServer(
-            settings.addresses.readiness,
-            DefaultServerLimits,
-            createReadinessHandler(platform.dialect, ::isReady),
-        )
+        // Opens the exchange, which what the servers answer depends on.
+        gauges.register(metrics)
+        metrics.registerGauge("gateway_running_requests") { running.count.toDouble() }
+        startServer(settings.addresses.metrics, DefaultServerLimits, createMetricsHandler(metrics::scrape))
         val keepSeconds = { minOf(ADDRESS_KEEP_SECONDS, settings.bounds.addressKeepSeconds) }
         startServer(
             settings.addresses.directory,
             DefaultServerLimits,
             createDirectoryHandler(platform.dialect, keepSeconds, ::listCallerTargets),
         )
-        startServer(settings.addresses.metrics, DefaultServerLimits, createMetricsHandler(metrics::scrape))
-        gauges.register(metrics)
-        metrics.registerGauge("gateway_running_requests") { running.count.toDouble() }
+        val readiness = createReadinessHandler(platform.dialect, ::isReady)
+        startServer(settings.addresses.readiness, DefaultServerLimits, readiness)
+        val limits =
+            CallerServerLimits({ currentConfiguration.configuration?.limits }, { phase == InstancePhase.DRAINING })
+        // Last, so that no caller is accepted when another address cannot be opened.
+        startServer(settings.addresses.callers, limits, createGatewayHandler())
         startFeeds()
         tasks.start("registration") { registration.run() }
         tasks.start("reports") { exchange.run(::composeReports) }
