Leave unread what a caller sends after the announced end

Callers saw: a request that came as its connection ended was read and dropped, so that they could not know whether it had run; a request that stays unread may be repeated. Cause: the connection went on reading while its end was on the way to the caller. Change: reading goes on only after a refusal, whose caller may have to send the rest of its request first; else what comes later stays unread, also a request of which a part had come behind the announced end.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
@@ -168,7 +168,7 @@
         if (!isLast) return
         handlerJob = null
         if (keepAlive) return handleNext()
-        isEnding = true
+        endReading()
         written.addListener { closeGracefully() }
     }
 
@@ -210,21 +210,30 @@
     }
 
     /**
-     * Ends the connection after all that was written. What the caller still sends is read and dropped for a moment,
-     * since unread bytes would turn the end into a reset, which may overtake the last answer.
+     * Ends the connection after all that was written. It is closed a moment later, since bytes that were not read turn
+     * that into a reset, which may overtake the last answer.
+     *
+     * What the caller still sends stays unread, so that it knows that none of it was handled; [isReading] when it sends
+     * the rest of a request that was refused, which it may have to complete before it reads the refusal.
      */
-    private fun closeGracefully() {
+    private fun closeGracefully(isReading: Boolean = false) {
         if (isClosing) return
         isClosing = true
+        channel.config().isAutoRead = isReading
         setTimer(LINGER_TIME) { channel.close() }
         (channel as SocketChannel).shutdownOutput().addListener { if (!it.isSuccess) channel.close() }
     }
 
-    /** Reads no more, and ends the connection with [status] once the requests before are answered. */
-    private fun reject(status: Int) {
+    /** Drops the request of which a part was received, and whatever follows it. */
+    private fun endReading() {
         isEnding = true
         incomingHead = null
         timer?.cancel(false)
+    }
+
+    /** Ends the connection with [status] once the requests before are answered. */
+    private fun reject(status: Int) {
+        endReading()
         pending.addLast(Pending.Rejected(status))
         handleNext()
     }
@@ -234,7 +243,7 @@
         response.headers()
             .set(HttpHeaderNames.CONTENT_LENGTH, 0)
             .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-        lastWrite = channel.writeAndFlush(response).addListener { closeGracefully() }
+        lastWrite = channel.writeAndFlush(response).addListener { closeGracefully(isReading = true) }
     }
 
     private fun setTimer(delay: Duration, action: () -> Unit) {
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/http/RequestsBehindAnotherSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/http/RequestsBehindAnotherSpec.kt
@@ -8,9 +8,11 @@
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
+import java.io.IOException
 import java.net.Socket
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -39,6 +41,10 @@
                 exchange.respond(200, DefaultHttpHeaders(), HttpCall.NO_BODY)
             }
 
+            "/large" -> {
+                exchange.respond(200, DefaultHttpHeaders(), ByteArray(LARGE_BODY.length))
+            }
+
             else -> {
                 exchange.respond(200, DefaultHttpHeaders(), exchange.call.body)
             }
@@ -133,6 +139,34 @@
         }
     }
 
+    @Nested
+    inner class `given an answer that announces the end of the connection` {
+        // Guards against LOST: a request that came too late was read, and dropped without an answer.
+        @Test
+        fun `a request that was not read by then stays unread`() {
+            limits.isStopping = true
+            send("GET /slow HTTP/1.1\nHost: h\n\n")
+            waitUntil { server.isBusy }
+            onLoop {
+                firstMayEnd.complete(Unit)
+                send("GET /2 HTTP/1.1\nHost: h\n\n")
+            }
+            assertEquals(listOf("200"), readStatuses())
+            waitUntil { server.connectionCount == 0 }
+            assertFailsWith<IOException>("the end was no reset, so that all had been read") { send("x") }
+        }
+
+        // Guards against MIXED: the refusal of a request that came too late followed the last answer.
+        @Test
+        fun `nothing is sent after it`() {
+            send("GET /large HTTP/1.1\nHost: h\nConnection: close\n\nGET /2 HTTP/1.1\nHost: h\n\nPOST /3 HTTP/1.1\n")
+            send("Host: h\nContent-Length: 4\n\nab")
+            waitUntil { server.unwrittenCount == 1 }
+            onLoop { server.refuseIncomplete() }
+            assertEquals(listOf("200"), readStatuses())
+        }
+    }
+
     @Nested
     inner class `given a caller that still sends when its answer is complete` {
         // Guards against LOST: bytes that were not read turned the end of the connection into a reset.
