End a connection soon after a stream that ended during a planned stop

Callers saw: a connection whose stream ended during a planned stop stayed open, so that a caller that keeps its connections sent its next request to an instance that may have to refuse it. Cause: the head of a stream no longer announces the end, and nothing else ended the connection before the exit. Change: while the process stops, a connection without a request ends after 0.5 s; what arrives by then is answered.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
@@ -146,7 +146,8 @@
 
     /** Waits for the rest of a request, whose time limit goes on, or for the next one. */
     private fun awaitRequest() {
-        if (incomingHead == null) setTimer(limits.idleTimeout) { closeGracefully() } else sendContinue()
+        if (incomingHead != null) return sendContinue()
+        setTimer(if (limits.isStopping) STOPPING_IDLE_TIME else limits.idleTimeout) { closeGracefully() }
     }
 
     private fun handle(request: Pending.Request) {
@@ -282,6 +283,9 @@
         /** Several times the time in which a caller learns of the end of its connection. */
         val LINGER_TIME = 500.milliseconds
 
+        /** In which a caller that has not learned of a planned stop may send its next request. */
+        val STOPPING_IDLE_TIME = 500.milliseconds
+
         /** The maximum number of complete requests queued on one connection behind the one being handled. */
         const val MAXIMUM_PIPELINED = 8
     }
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/http/RequestsBehindAnotherSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/http/RequestsBehindAnotherSpec.kt
@@ -167,6 +167,18 @@
         }
     }
 
+    @Nested
+    inner class `given a stream that ends during a planned stop` {
+        // Guards against LOST: callers kept their connections to an instance that had to refuse their next requests.
+        @Test
+        fun `its connection ends soon after it`() {
+            limits.isStopping = true
+            firstMayEnd.complete(Unit)
+            send("GET /stream HTTP/1.1\nHost: h\n\n")
+            assertEquals(listOf("200"), readStatuses())
+        }
+    }
+
     @Nested
     inner class `given a caller that still sends when its answer is complete` {
         // Guards against LOST: bytes that were not read turned the end of the connection into a reset.
