Ignore the abort of an answer that is complete

Callers saw: a request was cut off although nothing was wrong with it, when the work on the request before it on the connection was aborted after that one's answer. By reading, this needs an engine's error during a handover whose prompt is then freed. Cause: the abort closed the connection, which carried the next request by then. Change: an abort after the complete answer does nothing. Evidence: on the test fails: expected [200], but was []. It passes now.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerExchange.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerExchange.kt
@@ -78,8 +78,12 @@
         connection.write(LastHttpContent.EMPTY_LAST_CONTENT, isLast = true)
     }
 
-    /** Closes the connection, so that the caller does not take an incomplete answer for a complete one. */
+    /**
+     * Closes the connection, so that the caller does not take an incomplete answer for a complete one. Does nothing when
+     * the answer is complete, since the connection may carry the next request by then.
+     */
     fun abort() {
+        if (isFinished) return
         isFinished = true
         connection.abort()
     }
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/http/RequestsBehindAnotherSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/http/RequestsBehindAnotherSpec.kt
@@ -21,6 +21,7 @@
     private val loop = EventLoop()
     private val scope = CoroutineScope(loop.dispatcher + SupervisorJob())
     private val firstMayEnd = CompletableDeferred<Unit>()
+    private val secondMayEnd = CompletableDeferred<Unit>()
     private val limits = object : ServerLimits {
         override val maximumBodyBytes: Int = 100
         override var requestTimeout: Duration = 30.seconds
@@ -45,6 +46,17 @@
                 exchange.respond(200, DefaultHttpHeaders(), ByteArray(LARGE_BODY.length))
             }
 
+            "/twice" -> {
+                exchange.respond(200, DefaultHttpHeaders(), HttpCall.NO_BODY)
+                firstMayEnd.await()
+                exchange.abort()
+            }
+
+            "/second" -> {
+                secondMayEnd.await()
+                exchange.respond(200, DefaultHttpHeaders(), HttpCall.NO_BODY)
+            }
+
             else -> {
                 exchange.respond(200, DefaultHttpHeaders(), exchange.call.body)
             }
@@ -192,6 +204,20 @@
         }
     }
 
+    @Nested
+    inner class `given an answer that is aborted after it was complete` {
+        // Guards against LOST: the next request on the connection was cut off.
+        @Test
+        fun `the request behind it is answered`() {
+            send("GET /twice HTTP/1.1\nHost: h\n\nGET /second HTTP/1.1\nHost: h\nConnection: close\n\n")
+            assertEquals("HTTP/1.1 200 OK", caller.getInputStream().readHead().first())
+            waitUntil { server.isBusy }
+            onLoop { firstMayEnd.complete(Unit) }
+            onLoop { secondMayEnd.complete(Unit) }
+            assertEquals(listOf("200"), readStatuses())
+        }
+    }
+
     @Nested
     inner class `given a caller that still sends when its answer is complete` {
         // Guards against LOST: bytes that were not read turned the end of the connection into a reset.
