Cut no answer off before its caller's time is over

Callers saw: a stream that would have ended in time was cut off after a 200 while the event loop of the instance was late. Cause: the delay of the event loop, which a request may have waited unread, was taken off the time after which the instance cuts the answer off, also where the request had been read at once. Change: only the time that is known to have passed shortens it. The delay still shortens what endpoints are given, and nothing is sent for a caller that may have left.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/GatewayHandler.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/GatewayHandler.kt
@@ -50,10 +50,9 @@
 
     private suspend fun charge(exchange: CallerExchange, facts: RequestFacts, admitted: AdmittedRequest) {
         val now = clock.now()
-        // The caller counts its time from when it sent the request, however late that is read and handled.
-        val spent = loopDelay.readDelay(now) + exchange.timeSinceHead
-        val wait = (computeMaximumWait(admitted.route, facts.timeLeft) - spent).coerceAtLeast(Duration.ZERO)
-        if (!running.canAnswerBy(now + wait)) {
+        val maximum = computeMaximumWait(admitted.route, facts.timeLeft)
+        val time = CallerTime.compute(maximum, exchange.timeSinceHead, loopDelay.readDelay(now))
+        if (!running.canAnswerBy(now + time.untilCut)) {
             recorder.recordStopRefusal()
             val refusal = Refusal.Unavailable("the instance stops before the request is sure to end", STOP_RETRY_AFTER)
             return refuse(exchange, facts, admitted, refusal)
@@ -63,8 +62,8 @@
             return refuse(exchange, facts, admitted, Refusal.OverQuota("over the quota", decision.retryAfter))
         }
         retries.recordRequest(admitted.service)
-        val run = RequestRun(admitted, exchange, now + wait, clock, log)
-        serve(run, wait)
+        val run = RequestRun(admitted, exchange, now + time.untilCut, time.readDelay, clock, log)
+        serve(run, time.untilCut)
     }
 
     private suspend fun serve(run: RequestRun, wait: Duration) {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/RequestRun.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/RequestRun.kt
@@ -41,7 +41,11 @@
 /** A prefilled prompt that [prefillEngine] holds under [handle] until a decode engine fetches it. */
 class PendingHandover(val prefillEngine: EndpointState, val handle: String, val plan: EnginePlan.Handover)
 
-/** The state of one request that is shared by all its attempts. */
+/**
+ * The state of one request that is shared by all its attempts.
+ *
+ * @param readDelay how long the request may have waited unread, by which endpoints are given less time
+ */
 class RequestRun(
     /** The request. */
     val admitted: AdmittedRequest,
@@ -49,6 +53,7 @@
     val exchange: CallerExchange,
     /** The deadline of the answer. */
     val deadline: MonotonicTime,
+    private val readDelay: Duration,
     private val clock: MonotonicClock,
     private val log: DecisionLog,
 ) {
@@ -95,7 +100,7 @@
     /** Creates the dispatch of the request to [endpoint]. */
     fun createDispatch(endpoint: EndpointState, stage: DispatchStage, lastEvent: String?) = Dispatch(
         endpoint = endpoint.endpoint,
-        timeLeft = timeLeft(),
+        timeLeft = (timeLeft() - readDelay).coerceAtLeast(Duration.ZERO),
         organisation = admitted.organisation?.id,
         urgency = admitted.urgency,
         stage = stage,
