Close the connection to an endpoint only while it carries the request that ends

Callers saw: streams were cut off, and plain requests answered 502, with "closed by this instance" in the log, where the event loop was late. Cause: a connection returns to the pool when the last byte of its answer has been received. A reader that runs out of time before it takes the end of that answer closed the connection, which may carry another request by then. Change: only the request that the connection carries can end it.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerExchange.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerExchange.kt
@@ -79,8 +79,8 @@
     }
 
     /**
-     * Closes the connection, so that the caller does not take an incomplete answer for a complete one. Does nothing when
-     * the answer is complete, since the connection may carry the next request by then.
+     * Closes the connection, so that the caller does not take an incomplete answer for a complete one. Does nothing
+     * when the answer is complete, since the connection may carry the next request by then.
      */
     fun abort() {
         if (isFinished) return
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
@@ -112,6 +112,11 @@
     /** Closes the connection. The endpoint then stops working on the request that it carries. */
     fun close() = fail("closed by this instance")
 
+    /** Closes the connection if it still carries the request of [answer], and not the next one already. */
+    fun close(answer: ReceiveChannel<AnswerPart>) {
+        if (answer === parts) close()
+    }
+
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
         when (val cause = message.decoderResult().cause()) {
             null -> Unit
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/OpenAnswer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/OpenAnswer.kt
@@ -93,7 +93,7 @@
     override fun close() {
         memory.tryChange(heldBytes, 0)
         heldBytes = 0
-        if (!isComplete) connection.close()
+        if (!isComplete) connection.close(parts)
     }
 
     /** Holds the default limit. */
