--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceStop.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceStop.kt
@@ -38,13 +38,17 @@
         }
         while (servers.any { it.isBusy } && clock.now() < stop.exitAt) delay(CHECK_INTERVAL)
         servers.forEach { it.closeIdle() }
-        while (servers.any { it.connectionCount > 0 } && clock.now() < stop.exitAt) delay(CHECK_INTERVAL)
+        val endBy = minOf(clock.now() + END_TIME, stop.exitAt)
+        while (servers.any { it.connectionCount > 0 } && clock.now() < endBy) delay(CHECK_INTERVAL)
         sendReports()
         stopLog.enter(StopPhase.EXITING)
     }
 
     private companion object {
         val CHECK_INTERVAL = 50.milliseconds
+
+        /** In which callers learn of the end of their connections. Those that do not close them are not waited for. */
+        val END_TIME = 200.milliseconds
     }
 }
 
