Start without the bounds that a deployment does not have

Cause: both deployments without quotas state no quota window; the template renders an empty value, which the settings decoder refused, so that every process ended with code 2 before it listened. Change: bounds on which a feature depends may have no value, and the feature is then off; a bound that a process needs is named in one problem with its key.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/ServiceRetries.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/ServiceRetries.kt
@@ -23,23 +23,24 @@
 /** The retry budgets of all services at this instance. */
 class ServiceRetries(
     private val clock: MonotonicClock,
-    private val bounds: () -> RetryBounds,
+    private val bounds: () -> RetryBounds?,
     private val instances: () -> Int,
 ) {
     private val budgets = HashMap<ServiceId, RetryBudget>()
 
     /** Records a request for [service]. */
-    fun recordRequest(service: ServiceId) = budget(service).recordRequest(clock.now())
+    fun recordRequest(service: ServiceId) {
+        budget(service)?.recordRequest(clock.now())
+    }
 
     /** Whether one retry is allowed. */
-    fun isRetryAllowed(service: ServiceId): Boolean = budget(service).isRetryAllowed(clock.now(), instances())
+    fun isRetryAllowed(service: ServiceId): Boolean = budget(service)?.isRetryAllowed(clock.now(), instances()) ?: true
 
     /** Acquires one retry for [service] if allowed. */
-    fun tryAcquire(service: ServiceId): Boolean = budget(service).tryAcquire(clock.now(), instances())
+    fun tryAcquire(service: ServiceId): Boolean = budget(service)?.tryAcquire(clock.now(), instances()) ?: true
 
-    private fun budget(service: ServiceId) = budgets.getOrPut(service) {
-        bounds().let { RetryBudget(it.ratio, it.extra, it.window) }
-    }
+    private fun budget(service: ServiceId): RetryBudget? = budgets[service]
+        ?: bounds()?.let { RetryBudget(it.ratio, it.extra, it.window) }?.also { budgets[service] = it }
 }
 
 /** Counts the requests that started to run, for the usage reports. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
@@ -86,21 +86,22 @@
 class QuotaTable(
     private val clock: MonotonicClock,
     private val wallClockMilliseconds: () -> Long = System::currentTimeMillis,
-    private val window: () -> Duration,
+    private val window: () -> Duration?,
 ) {
     private val quotas = HashMap<OrganisationId, SharedQuota>()
     private val processStartedAt = clock.now()
     private var nextRepeated = 0
 
-    /** Updates the quota rates from [configuration]. */
+    /** Updates the quota rates from [configuration]. Without a window to enforce them in there are none. */
     fun configure(configuration: ServingConfiguration) {
         val now = clock.now()
+        val window = window() ?: return quotas.clear()
         for (organisation in configuration.organisations) {
             val rate = organisation.quota
             val known = quotas[organisation.id]
             when {
                 rate == null -> quotas.remove(organisation.id)
-                known == null -> quotas[organisation.id] = SharedQuota(rate, window(), now, processStartedAt)
+                known == null -> quotas[organisation.id] = SharedQuota(rate, window, now, processStartedAt)
                 else -> known.resize(rate, now)
             }
         }
@@ -130,7 +131,7 @@
     /** Returns how far back this instance knows what the fleet charged, null for the whole window. */
     fun findCoverage(): Duration? {
         val now = clock.now()
-        return quotas.values.minOfOrNull { it.coverage(now) }?.takeIf { it < window() }
+        return quotas.values.minOfOrNull { it.coverage(now) }?.takeIf { it < quotaWindow() }
     }
 
     /** Returns what the fleet charged to the [count] organisations that used most. */
@@ -140,12 +141,12 @@
             .sortedByDescending { it.value.sum() }
             .take(count)
             .associate { it.key to it.value }
-        return ChargeHistoryReport((findCoverage() ?: window()).inWholeMilliseconds, units)
+        return ChargeHistoryReport((findCoverage() ?: quotaWindow()).inWholeMilliseconds, units)
     }
 
     /** Whether the history of this instance tells one that knows the charges for the time of [coverage] much more. */
     fun canInform(coverage: Duration): Boolean =
-        quotas.isNotEmpty() && (findCoverage() ?: window()) > coverage + SharedQuota.MINIMUM_HISTORY_GAIN
+        quotas.isNotEmpty() && (findCoverage() ?: quotaWindow()) > coverage + SharedQuota.MINIMUM_HISTORY_GAIN
 
     /** Updates the list of the other instances. */
     fun updateMembers(others: Collection<InstanceId>) {
@@ -180,6 +181,8 @@
         return (mostChanged + repeated).associate { it.key to it.value.reportChargedUnits(now) }
     }
 
+    private fun quotaWindow() = window() ?: Duration.ZERO
+
     private fun units(organisation: OrganisationDefinition, tokens: Long?): Long = when (val unit = organisation.unit) {
         QuotaUnit.Requests -> 1
         is QuotaUnit.Tokens -> tokens ?: unit.defaultTokens
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -92,7 +92,7 @@
         log,
     )
     private val currentConfiguration = CurrentConfiguration(log)
-    private val quotas = QuotaTable(clock) { settings.bounds.quotaWindowSeconds.seconds }
+    private val quotas = QuotaTable(clock) { settings.bounds.toQuotaWindow() }
     private val peers = PeerTable(self, incarnation)
     private val turns =
         InstanceTurns(self, { peers.registered.keys }) { System.currentTimeMillis().milliseconds }
@@ -144,7 +144,7 @@
     )
     private val reports = PeerReports(self, peers, quotas, endpoints, crashGuard, limits, history, clock)
 
-    private val pacing = ReportPacing(initial.instance.linkMegabitsPerSecond)
+    private val pacing = ReportPacing(initial.instance.linkMegabitsPerSecond ?: DEFAULT_LINK_MEGABITS_PER_SECOND)
     private val composer = ReportComposer(
         LeaseHolder(self, incarnation),
         startedAtMilliseconds,
@@ -197,7 +197,7 @@
         gauges.register(metrics)
         metrics.registerGauge("gateway_running_requests") { running.count.toDouble() }
         startServer(settings.addresses.metrics, DefaultServerLimits, createMetricsHandler(metrics::scrape))
-        val keepSeconds = { minOf(ADDRESS_KEEP_SECONDS, settings.bounds.addressKeepSeconds) }
+        val keepSeconds = { minOf(ADDRESS_KEEP_SECONDS, settings.bounds.addressKeepSeconds ?: ADDRESS_KEEP_SECONDS) }
         startServer(
             settings.addresses.directory,
             DefaultServerLimits,
@@ -309,7 +309,10 @@
     }
 
     private fun isReady(): Boolean = phase == InstancePhase.READY && !listCurrency.isBehind(clock.now()) &&
-        currentConfiguration.hasEvidence(settings.bounds.revocationMilliseconds.milliseconds, clock.now())
+        currentConfiguration.hasEvidence(maximumReadyEvidenceAge(), clock.now())
+
+    private fun maximumReadyEvidenceAge(): Duration =
+        settings.bounds.revocationMilliseconds?.milliseconds ?: Duration.INFINITE
 
     private fun listCallerTargets(): List<CallerTarget> {
         val age = currentConfiguration.evidenceAge(clock.now())?.inWholeMilliseconds
@@ -330,6 +333,7 @@
         /** Callers learn of a draining instance within this time, in seconds. */
         const val ADDRESS_KEEP_SECONDS = 2
 
+        const val DEFAULT_LINK_MEGABITS_PER_SECOND = 1000.0
         const val DEFAULT_CACHE_TOKENS = 500_000L
         const val MAXIMUM_HEADER_BYTES = 32_768
     }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceDuties.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceDuties.kt
@@ -64,7 +64,10 @@
         store = platform.store,
         clock = clock,
         rules = LeaseRules(
-            LeaseTiming(duration = settings.bounds.leaseMilliseconds.milliseconds, renewInterval = RENEW_INTERVAL),
+            LeaseTiming(
+                duration = (settings.bounds.leaseMilliseconds ?: 0).milliseconds,
+                renewInterval = RENEW_INTERVAL,
+            ),
         ),
         desiredRole = ::desiredRole,
         // Releases only while stopping, when no further call is made; an instance that is ready again keeps the lease.
@@ -88,26 +91,29 @@
 
     /** Takes part in the duties by [tasks], unless the settings disable the lease. */
     fun start(tasks: LastingTasks) {
-        if (settings.bounds.leaseMilliseconds <= 0) return
+        if ((settings.bounds.leaseMilliseconds ?: 0) <= 0) return
         tasks.start("lease") {
             // The first answer to a feed tells the era of the store, for which the lease would make a call of its own.
             while (platform.store.era == null) delay(ERA_CHECK)
             lease.run()
         }
         tasks.start("roles") { roleOrderer.run() }
-        if (settings.platform.duties.isEmpty()) return
+        if (settings.platform.duties.isNullOrEmpty()) return
         tasks.start("endpoints") { endpointOrderer.run() }
-        if (settings.bounds.usageWindowSeconds > 0) tasks.start("usage") { createUsageReporter().run() }
+        val reportDeadline = settings.bounds.usageReportSeconds?.seconds ?: return
+        if ((settings.bounds.usageWindowSeconds ?: 0.0) > 0) {
+            tasks.start("usage") { createUsageReporter(reportDeadline).run() }
+        }
     }
 
-    private fun createUsageReporter() = UsageReporter(
+    private fun createUsageReporter(reportDeadline: Duration) = UsageReporter(
         caller = caller,
         store = platform.store,
         eraAge = inputs.storeEraAge,
         countRequests = inputs.countRequests,
         propagationTime = inputs.propagationTime,
         windowLength = settings.bounds.usageWindow,
-        reportDeadline = settings.bounds.usageReportSeconds.seconds,
+        reportDeadline = reportDeadline,
         wallClockMilliseconds = System::currentTimeMillis,
         onSkipped = { window ->
             log.record(
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/settings/GatewaySettings.kt
@@ -21,13 +21,9 @@
 data class InstanceSettings(
     val id: InstanceId,
     val dataCentre: DataCentreId,
-    /** The bandwidth of the link that carries all traffic of the instance. */
-    val linkMegabitsPerSecond: Double = DEFAULT_LINK_MEGABITS_PER_SECOND,
-) {
-    private companion object {
-        const val DEFAULT_LINK_MEGABITS_PER_SECOND = 1000.0
-    }
-}
+    /** The bandwidth of the link that carries all traffic of the instance, null when it is not known. */
+    val linkMegabitsPerSecond: Double? = null,
+)
 
 /** Addresses on which the instance listens, as `host:port` with IP addresses. */
 @Serializable
@@ -49,43 +45,57 @@
 data class PlatformSettings(
     /** The object store. */
     val store: String,
-    /** The interface for usage reports and endpoint orders, empty when there is none. */
-    val duties: String = "",
+    /** The interface for usage reports and endpoint orders, null or empty when there is none. */
+    val duties: String? = null,
 )
 
-/** Bounds agreed with the operators. Each name states the unit. */
+/**
+ * Bounds agreed with the operators. Each name states the unit.
+ *
+ * A nullable bound may have no value: the deployment does not have it, and what depends on it is off. The key itself must
+ * be there, so that a file that is read while it is being written is not taken for a whole one.
+ */
 @Serializable
 data class BoundSettings(
-    /** Whether a revoked key must be refused once the bound has passed, even during failures. */
-    val strictRevocation: Boolean,
-    /** How long a key may still be accepted after its revocation. */
-    val revocationMilliseconds: Long,
+    /** Whether a revoked key must be refused once the bound has passed, even during failures; null means false. */
+    val strictRevocation: Boolean?,
+    /** How long a key may still be accepted after its revocation. Required where the revocation is strict. */
+    val revocationMilliseconds: Long?,
     /** The time within which a configuration reaches all instances. */
     val configurationMilliseconds: Long,
     /** How long an endpoint may still get requests after the store has accepted its departure. */
     val departureMilliseconds: Long,
     /** How long a process may take to stop after it was told to. */
     val stopSeconds: Double,
-    /** Retries at another endpoint allowed for each request. */
-    val retryRatio: Double,
-    /** Retries allowed in a window beyond the ratio, over all instances. */
-    val retryExtra: Double,
-    /** The window in which retries are counted. */
-    val retryWindowSeconds: Double,
-    /** The window over which the rate and burst of an organisation are enforced. */
-    val quotaWindowSeconds: Double,
-    /** The lease duration: how long the holder of the duties is alone after the last call of another instance. */
-    val leaseMilliseconds: Long,
-    /** The length of a usage window, 0 when usage is not reported. */
-    val usageWindowSeconds: Double,
-    /** The time after its end within which a usage window is reported. */
-    val usageReportSeconds: Double,
-    /** The maximum time for which callers may cache addresses. */
-    val addressKeepSeconds: Int,
+    /** Retries at another endpoint allowed for each request; null without a retry budget. */
+    val retryRatio: Double?,
+    /** Retries allowed in a window beyond the ratio, over all instances; null means none. */
+    val retryExtra: Double?,
+    /** The window in which retries are counted; null without a retry budget. */
+    val retryWindowSeconds: Double?,
+    /** The window over which the rate and burst of an organisation are enforced; null when quotas are not enforced. */
+    val quotaWindowSeconds: Double?,
+    /**
+     * The lease duration: how long the holder of the duties is alone after the last call of another instance. Without a
+     * lease no instance carries out duties.
+     */
+    val leaseMilliseconds: Long?,
+    /** The length of a usage window, null or 0 when usage is not reported. */
+    val usageWindowSeconds: Double?,
+    /** The time after its end within which a usage window is reported; null when usage is not reported. */
+    val usageReportSeconds: Double?,
+    /** The maximum time for which callers may cache addresses; null without a maximum. */
+    val addressKeepSeconds: Int?,
+    /** How long endpoints of a data centre may still get requests after its evacuation; null without evacuations. */
+    val evacuationMilliseconds: Long? = null,
+    /** The factor by which the request rate of a cold endpoint may exceed its own; null without cold endpoints. */
+    val coldOverage: Double? = null,
+    /** Requests per second that a cold endpoint may get beyond its rate and [coldOverage]; null means none. */
+    val coldSlack: Double? = null,
 ) {
     /** The length of the windows in which requests are counted, even when usage is not reported. */
     val usageWindow: Duration
-        get() = (if (usageWindowSeconds > 0) usageWindowSeconds else DEFAULT_WINDOW_SECONDS).seconds
+        get() = (usageWindowSeconds?.takeIf { it > 0 } ?: DEFAULT_WINDOW_SECONDS).seconds
 
     private companion object {
         /** The window length used by deployments that report usage; nothing depends on it. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/settings/GatewaySettingsLoader.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/settings/GatewaySettingsLoader.kt
@@ -39,21 +39,27 @@
                 "platform.store" to settings.platform.store,
             )
         }
+        val revocation = settings.bounds.revocationMilliseconds
+        val missing = listOf(
+            "bounds.revocationMilliseconds" to "must have a value where bounds.strictRevocation is true",
+        )
+            .filter { settings.bounds.strictRevocation == true && revocation == null }
         val positive = with(settings.bounds) {
             listOf(
-                "bounds.revocationMilliseconds" to revocationMilliseconds.toDouble(),
+                "bounds.revocationMilliseconds" to revocationMilliseconds?.toDouble(),
                 "bounds.configurationMilliseconds" to configurationMilliseconds.toDouble(),
                 "bounds.stopSeconds" to stopSeconds,
                 "bounds.retryWindowSeconds" to retryWindowSeconds,
                 "bounds.quotaWindowSeconds" to quotaWindowSeconds,
-                "bounds.leaseMilliseconds" to leaseMilliseconds.toDouble(),
-                "bounds.addressKeepSeconds" to addressKeepSeconds.toDouble(),
+                "bounds.leaseMilliseconds" to leaseMilliseconds?.toDouble(),
+                "bounds.addressKeepSeconds" to addressKeepSeconds?.toDouble(),
                 "logs.linesPerSecond" to settings.logs.linesPerSecond.toDouble(),
             )
         }
         return addresses.filterNot { ADDRESS.matches(it.second) }
             .map { (path, value) -> path to "'$value' must be an IP number and a port, such as 10.0.0.1:8080" } +
-            positive.filterNot { it.second > 0 }.map { (path, value) -> path to "$value must be above 0" }
+            positive.filterNot { (_, value) -> value == null || value > 0 }
+                .map { (path, value) -> path to "$value must be above 0" } + missing
     }
 
     private companion object {
--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -571,7 +571,7 @@
                 {"strict_revoke", "true"}, {"revoke_ms", "5000"}, {"config_apply_ms", "2000"}, {"drain_ms", "2000"},
                 {"grace_s", "8"}, {"budget_ratio", "0.2"}, {"budget_extra", "52"}, {"budget_window_s", "10"},
                 {"quota_window_s", "8"}, {"lease_ms", "3000"}, {"window_s", "5"}, {"usage_late_s", "10"},
-                {"ttl_max_s", "5"},
+                {"ttl_max_s", "5"}, {"evacuation_ms", "5000"}, {"cold_overage", "1.5"}, {"cold_slack", "5"},
             };
             for (String[] bound : bounds) values.put("bounds." + bound[0] + "|json", bound[1]);
             String text = Files.readString(Path.of("platform/settings.yml.template"));
