Read changes that a relay has told of from a replica of the store

An answer that reaches the revision that the relay named is taken, with the relay's evidence; any other is followed by an ordinary call at once.

--- a/decisions/src/main/kotlin/org/nutmegspring/currency/FeedStatement.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/currency/FeedStatement.kt
@@ -25,8 +25,14 @@
     /** The follower has every change that the store had accepted at [provenAt], and may go on from [position]. */
     data class Current(val provenAt: MonotonicTime, val position: Long) : StatementVerdict
 
-    /** The store has changes that the follower does not have, or may have. */
-    data object Behind : StatementVerdict
+    /**
+     * The store has changes that the follower does not have, or may have. Once the follower has every change up to
+     * [revision] of [era], it has all that the store had accepted at [provenAt].
+     */
+    data class Behind(val provenAt: MonotonicTime, val era: StoreEra, val revision: Long) : StatementVerdict {
+        /** Whether a follower that has every change up to [position] has all that the store had accepted then. */
+        fun isReachedAt(position: Long, ofEra: StoreEra): Boolean = ofEra == era && position >= revision
+    }
 
     /** The statement proves nothing: it is too old, or of an era that has ended. */
     data object Unproved : StatementVerdict
@@ -52,8 +58,16 @@
 ): StatementVerdict {
     val provenAt = askedAt - statement.age
     return when {
-        now - provenAt > maximumAge || statement.era < era -> StatementVerdict.Unproved
-        statement.era > era || position < statement.quietSince -> StatementVerdict.Behind
-        else -> StatementVerdict.Current(provenAt, maxOf(position, statement.position))
+        now - provenAt > maximumAge || statement.era < era -> {
+            StatementVerdict.Unproved
+        }
+
+        statement.era > era || position < statement.quietSince -> {
+            StatementVerdict.Behind(provenAt, statement.era, statement.quietSince)
+        }
+
+        else -> {
+            StatementVerdict.Current(provenAt, maxOf(position, statement.position))
+        }
     }
 }
--- a/decisions/src/test/kotlin/org/nutmegspring/currency/FeedStatementSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/currency/FeedStatementSpec.kt
@@ -6,6 +6,7 @@
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
 import kotlin.time.Duration
@@ -37,7 +38,15 @@
 
         @Test
         fun `a follower from before the change is behind`() {
-            assertEquals(StatementVerdict.Behind, judge(statement, position = 99))
+            val verdict = assertIs<StatementVerdict.Behind>(judge(statement, position = 99))
+            assertEquals(StatementVerdict.Behind(start - 300.milliseconds, era, revision = 100), verdict)
+        }
+
+        @Test
+        fun `a follower has caught up once it has the last change, in the same era`() {
+            val verdict = assertIs<StatementVerdict.Behind>(judge(statement, position = 99))
+            assertTrue(verdict.isReachedAt(100, era))
+            assertFalse(verdict.isReachedAt(99, era) || verdict.isReachedAt(100, StoreEra(2)))
         }
 
         @Test
@@ -48,21 +57,29 @@
         @Test
         fun `a statement of another era proves nothing, or that the follower is behind`() {
             assertEquals(StatementVerdict.Unproved, judge(statement.copy(era = StoreEra(0)), position = 120))
-            assertEquals(StatementVerdict.Behind, judge(statement.copy(era = StoreEra(2)), position = 500))
+            val later = assertIs<StatementVerdict.Behind>(judge(statement.copy(era = StoreEra(2)), position = 500))
+            assertFalse(later.isReachedAt(500, era))
         }
     }
 
-    /** A store with changes at random times, relays that follow it, and followers that ask relays and each other. */
-    private class Fleet(seed: Int, private val judge: Judge) {
+    /**
+     * A store with changes at random times, relays that follow it, and followers that ask relays and each other, and
+     * read changes from a replica of the store that is up to two seconds behind.
+     *
+     * @param acceptsOutdated whether a follower takes what it reads from the replica for all that the relay told of
+     */
+    private class Fleet(seed: Int, private val judge: Judge, private val acceptsOutdated: Boolean = false) {
         private class Follower(var position: Long = 0, var quietSince: Long = 0, var provenAt: Long = 0)
 
         private val random = Random(seed)
         private val changes = mutableListOf<Pair<Long, Long>>()
         private val relays = List(3) { Follower() }
         private val followers = List(12) { Follower() }
+        private val revisions = mutableListOf(0L to 0L)
         private var revision = 0L
         private var now = 0L
         var confirmations = 0
+        var replicaReads = 0
         var violations = 0
 
         fun run() {
@@ -71,6 +88,7 @@
                 // Other objects of the store change too, and move the revision on.
                 if (random.nextInt(8) == 0) revision++
                 if (random.nextInt(60) == 0) changes += now to ++revision
+                revisions += now to revision
                 if (random.nextInt(3) == 0) callStore(relays.random(random))
                 askOne()
             }
@@ -98,11 +116,21 @@
             now += if (random.nextInt(10) == 0) random.nextLong(0, 3_000) else random.nextLong(0, 20)
             when (val verdict = judge(statement, asking.position, time(askedAt), time(now))) {
                 is StatementVerdict.Current -> confirm(asking, verdict)
-                StatementVerdict.Behind -> callStore(asking)
+                is StatementVerdict.Behind -> readReplica(asking, verdict)
                 StatementVerdict.Unproved -> Unit
             }
         }
 
+        private fun readReplica(asking: Follower, verdict: StatementVerdict.Behind) {
+            val replicaTime = now - random.nextLong(0, 2_000)
+            val position = revisions.last { it.first <= maxOf(0, replicaTime) }.second
+            if (!acceptsOutdated && !verdict.isReachedAt(position, StoreEra(1))) return callStore(asking)
+            replicaReads++
+            if (changes.any { it.second in (asking.position + 1)..position }) asking.quietSince = position
+            asking.position = maxOf(asking.position, position)
+            confirm(asking, StatementVerdict.Current(verdict.provenAt, asking.position))
+        }
+
         private fun confirm(asking: Follower, verdict: StatementVerdict.Current) {
             confirmations++
             val provenAt = verdict.provenAt.nanoseconds / NANOSECONDS_PER_MILLISECOND
@@ -120,7 +148,8 @@
             judgeStatement(statement, StoreEra(1), position, askedAt, now, 1800.milliseconds)
         }
 
-        private fun play(judge: Judge): List<Fleet> = List(SEEDS) { seed -> Fleet(seed, judge).also { it.run() } }
+        private fun play(judge: Judge, acceptsOutdated: Boolean = false): List<Fleet> =
+            List(SEEDS) { seed -> Fleet(seed, judge, acceptsOutdated).also { it.run() } }
 
         @Test
         fun `a follower that is called current has every change accepted at the proven time`() {
@@ -129,6 +158,13 @@
             assertTrue(fleets.all { it.confirmations > 100 }, "${fleets.map { it.confirmations }}")
         }
 
+        @Test
+        fun `followers read from the replica what it has, and a follower that takes older answers is caught`() {
+            val fleets = play(real)
+            assertTrue(fleets.all { it.replicaReads > 10 }, "${fleets.map { it.replicaReads }}")
+            assertTrue(play(real, acceptsOutdated = true).sumOf { it.violations } > 0)
+        }
+
         @Test
         fun `a judge that dates a statement by its arrival is caught`() {
             val byArrival = Judge { statement, position, _, now -> real(statement, position, now, now) }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
@@ -45,6 +45,8 @@
         metrics.registerGauge("gateway_report_received_bytes") { traffic.receivedBytes.toDouble() }
         metrics.registerGauge("gateway_report_size_bytes") { traffic.reportBytes.toDouble() }
         metrics.registerGauge("gateway_feed_calls") { inquiry.ownCalls.toDouble() }
+        metrics.registerGauge("gateway_feed_replica_reads") { inquiry.replicaReads.toDouble() }
+        metrics.registerGauge("gateway_feed_outdated_replica_reads") { inquiry.outdatedReplicaReads.toDouble() }
         metrics.registerGauge("gateway_relay_answers") { inquiry.answeredQuestions.toDouble() }
         metrics.registerGauge("gateway_registered_peers") { peers.registered.size.toDouble() }
         metrics.registerGauge("gateway_endpoints") { endpoints.allStates().size.toDouble() }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/store/FeedFollower.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/store/FeedFollower.kt
@@ -69,8 +69,8 @@
                 applyStatement(position, asked, verdict)
             }
 
-            StatementVerdict.Behind -> {
-                followChanges(position, minOf(BEHIND_WAIT, pace.wait))
+            is StatementVerdict.Behind -> {
+                readReplica(position, asked, verdict) ?: followChanges(position, minOf(BEHIND_WAIT, pace.wait))
             }
 
             StatementVerdict.Unproved -> {
@@ -82,16 +82,41 @@
 
     private fun ownWait(): Duration = if (witness.isRelay) pace.relayWait else pace.wait
 
+    /**
+     * Reads the changes that a relay has told of from a replica of the store. Returns null if the replica does not have
+     * all of them. What is proved, and since when, comes from the relay: a replica proves nothing.
+     */
+    private suspend fun readReplica(
+        position: FeedPosition,
+        asked: AskedStatement,
+        verdict: StatementVerdict.Behind,
+    ): FeedPosition? {
+        if (verdict.era != position.era) return null
+        val changes = feed.readReplica(position).getOrNull() as? FeedChanges.Events ?: return null
+        val isCaughtUp = verdict.isReachedAt(changes.position.revision, changes.position.era)
+        witness.recordReplicaRead(isCaughtUp)
+        if (!isCaughtUp) return null
+        recordAnswer()
+        recordRegained(asked)
+        listener.onChanged(changes.events, verdict.provenAt, regainedAt)
+        if (changes.events.isNotEmpty()) quietSince = changes.position.revision
+        recordProgress(changes.position, verdict.provenAt)
+        return changes.position
+    }
+
+    private fun recordRegained(asked: AskedStatement) {
+        val age = asked.statement.regainedAge ?: return
+        val regainedThere = asked.askedAt - age
+        regainedAt = maxOf(regainedAt ?: regainedThere, regainedThere)
+    }
+
     private fun applyStatement(
         position: FeedPosition,
         asked: AskedStatement,
         verdict: StatementVerdict.Current,
     ): FeedPosition {
         recordAnswer()
-        asked.statement.regainedAge?.let { age ->
-            val regainedThere = asked.askedAt - age
-            regainedAt = maxOf(regainedAt ?: regainedThere, regainedThere)
-        }
+        recordRegained(asked)
         listener.onChanged(emptyList(), verdict.provenAt, regainedAt)
         return FeedPosition(verdict.position, position.era).also { recordProgress(it, verdict.provenAt) }
     }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/store/FeedInquiry.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/store/FeedInquiry.kt
@@ -49,6 +49,14 @@
     var ownCalls: Long = 0
         private set
 
+    /** Reads of a replica of the store that had what a relay had told of, since the process started. */
+    var replicaReads: Long = 0
+        private set
+
+    /** Reads of a replica that was too far behind, each followed by a call to the store. */
+    var outdatedReplicaReads: Long = 0
+        private set
+
     /** Returns the witness of the followers of [feed]. */
     fun witness(feed: String): FeedWitness = object : FeedWitness {
         override suspend fun awaitStatement(): AskedStatement? {
@@ -68,6 +76,10 @@
             ownCalls++
         }
 
+        override fun recordReplicaRead(isCaughtUp: Boolean) {
+            if (isCaughtUp) replicaReads++ else outdatedReplicaReads++
+        }
+
         override fun recordProgress(progress: FeedProgress) {
             this@FeedInquiry.progress[feed] = progress
         }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/store/FeedWitness.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/store/FeedWitness.kt
@@ -42,6 +42,9 @@
     /** Records that the follower calls the store. */
     fun recordCall()
 
+    /** Records that the follower read a replica of the store, and whether that had what a relay had told of. */
+    fun recordReplicaRead(isCaughtUp: Boolean)
+
     /** Records how far the follower has come. */
     fun recordProgress(progress: FeedProgress)
 
@@ -55,6 +58,8 @@
 
         override fun recordCall() = Unit
 
+        override fun recordReplicaRead(isCaughtUp: Boolean) = Unit
+
         override fun recordProgress(progress: FeedProgress) = Unit
     }
 }
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/store/FeedFollowerSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/store/FeedFollowerSpec.kt
@@ -6,9 +6,11 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runCurrent
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Nested
+import org.nutmegspring.currency.FeedStatement
 import org.nutmegspring.failure.Effect
 import org.nutmegspring.failure.Failure
 import org.nutmegspring.failure.Peer
@@ -34,6 +36,7 @@
         var isDown = false
         var era = StoreEra(1)
         val answers = ArrayDeque<FeedChanges<String>>()
+        var replica: FeedChanges<String>? = null
 
         override suspend fun list(timeout: Duration): Either<StoreFailure, Listing<String>> {
             calls += "list"
@@ -49,6 +52,11 @@
             if (isDown) return down.left()
             return answers.removeFirstOrNull()?.right() ?: CompletableDeferred<Nothing>().await()
         }
+
+        override suspend fun readReplica(position: FeedPosition): Either<StoreFailure, FeedChanges<String>> {
+            calls += "replica after ${position.revision}"
+            return replica?.right() ?: down.left()
+        }
     }
 
     private class Recorder : FeedListener<String> {
@@ -102,6 +110,61 @@
         }
     }
 
+    @Nested
+    inner class `when a relay tells of changes up to revision 20` {
+        private val feed = ScriptedFeed()
+        private val recorder = Recorder()
+        private val toldOnce = object : FeedWitness by FeedWitness.None {
+            private val statement = FeedStatement(StoreEra(1), quietSince = 20, position = 25, age = Duration.ZERO)
+            private var isTold = false
+
+            override suspend fun awaitStatement(): AskedStatement? {
+                if (isTold) CompletableDeferred<Nothing>().await()
+                isTold = true
+                return AskedStatement(statement, MonotonicTime.ZERO)
+            }
+        }
+
+        private fun events(revision: Long) =
+            FeedChanges.Events(listOf(FeedEvent.Removed("a")), FeedPosition(revision, StoreEra(1)))
+
+        private fun TestScope.follow() {
+            val follower = FeedFollower(
+                feed,
+                recorder,
+                { MonotonicTime.ZERO },
+                FeedPace(1.seconds),
+                Random(1),
+                toldOnce,
+            )
+            backgroundScope.launch { follower.run() }
+            runCurrent()
+        }
+
+        @Test
+        fun `a replica that has them is enough`() = runTest {
+            feed.replica = events(21)
+            follow()
+            assertEquals(listOf("list", "replica after 10"), feed.calls)
+            assertEquals(listOf("listed", "changed 1"), recorder.notifications)
+        }
+
+        @Test
+        fun `the store is called when the replica is behind`() = runTest {
+            feed.replica = events(19)
+            feed.answers += events(20)
+            follow()
+            assertEquals(listOf("list", "replica after 10", "changes after 10"), feed.calls)
+            assertEquals(listOf("listed", "changed 1"), recorder.notifications)
+        }
+
+        @Test
+        fun `the store is called when the replica does not answer`() = runTest {
+            follow()
+            assertEquals(listOf("list", "replica after 10", "changes after 10"), feed.calls)
+        }
+    }
+
     @Nested
     inner class `while the store is down` {
         @Test
