--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/store/StoreFeed.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/store/StoreFeed.kt
@@ -53,8 +53,8 @@
     suspend fun awaitChanges(position: FeedPosition, wait: Duration): Either<StoreFailure, FeedChanges<T>>
 
     /**
-     * Returns the changes after [position] that a replica of the store has, which may be seconds behind. The position of
-     * the answer tells how far it is. The platform charges a fraction of the price of other calls. Fails as
+     * Returns the changes after [position] that a replica of the store has, which may be seconds behind. The position
+     * of the answer tells how far it is. The platform charges a fraction of the price of other calls. Fails as
      * [awaitChanges].
      */
     suspend fun readReplica(position: FeedPosition): Either<StoreFailure, FeedChanges<T>>
