Estimate the speed of engines that tell how long their work takes

Cause: placement took one constant speed for all engines. Where engines run at 0.6, 1.0 and 1.6 times the nominal speed on shared machines, slow ones got as many prompts as fast ones. Change: SpeedEstimate keeps the lasting speed, learnt from prefills, apart from the momentary factor that endpoints tell as the fourth figure of their load; reports between instances carry a few lasting speeds. Endpoints that do not tell the figure are placed as before.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
@@ -7,6 +7,7 @@
 import org.nutmegspring.placement.PrefixCacheEstimate
 import org.nutmegspring.placement.PromptPart
 import org.nutmegspring.placement.ServiceCandidate
+import org.nutmegspring.placement.SpeedEstimate
 import org.nutmegspring.routing.EndpointHealth
 import org.nutmegspring.routing.EndpointHealthSettings
 import org.nutmegspring.time.MonotonicTime
@@ -39,6 +40,12 @@
     /** The circuit breaker that excludes the endpoint after failures. */
     val health = EndpointHealth(HEALTH_SETTINGS)
 
+    /** The speed of the endpoint, where it tells how long its work takes. */
+    val speed = SpeedEstimate()
+
+    /** Whether the endpoint has told a load that cannot be read. */
+    var hasUnreadableLoad = false
+
     /** The limit that the endpoint names. */
     val limit = EndpointLimit()
 
@@ -101,6 +108,7 @@
             cacheEstimate.clear()
             limit.reset()
         }
+        if (changed.bornAt != endpoint.bornAt || changed.role != endpoint.role) speed.reset()
         if (!changed.describesSameAs(endpoint)) {
             isMisdirected = false
             avoidedUntil = null
@@ -131,16 +139,20 @@
     /** Returns the number of requests that all instances run at the endpoint, from unexpired reports. */
     fun countRequests(now: MonotonicTime): Int = ownLoad.requests + unexpiredPeerLoads(now).sumOf { it.requests }
 
+    /** Returns the prompt tokens that all instances have queued at the endpoint, from unexpired reports. */
+    fun countQueuedTokens(now: MonotonicTime): Long =
+        ownLoad.waitingTokens + unexpiredPeerLoads(now).sumOf { it.waitingTokens }
+
     /** Returns this endpoint as a candidate for a request whose prompt is [chain]. */
     fun toEngineCandidate(chain: List<PromptPart>, now: MonotonicTime): EngineCandidate = EngineCandidate(
         id = endpoint.id,
         role = endpoint.role ?: EngineRole.MIXED,
         dataCentre = endpoint.dataCentre,
-        queuedTokens = ownLoad.waitingTokens + unexpiredPeerLoads(now).sumOf { it.waitingTokens },
+        queuedTokens = countQueuedTokens(now),
         cachedTokens = cacheEstimate.countCachedTokens(chain),
         requests = countRequests(now),
         slots = endpoint.slots,
-        slowdown = maxOf(1.0, currentSlowdown(now)),
+        slowdown = speed.slowdown(now) ?: maxOf(1.0, currentSlowdown(now)),
     )
 
     /** Returns this endpoint as a candidate for a request to a plain service. */
@@ -149,7 +161,7 @@
         dataCentre = endpoint.dataCentre,
         requests = countRequests(now),
         slots = endpoint.slots,
-        slowdown = maxOf(1.0, currentSlowdown(now)),
+        slowdown = maxOf(1.0, currentSlowdown(now), speed.slowdown(now) ?: 1.0),
     )
 
     private fun unexpiredPeerLoads(now: MonotonicTime): List<EngineLoad> =
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EndpointLimits.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EndpointLimits.kt
@@ -6,6 +6,7 @@
 import org.nutmegspring.gateway.observe.DecisionLog
 import org.nutmegspring.gateway.peers.EndpointLimitReport
 import org.nutmegspring.gateway.wire.AnswerFacts
+import org.nutmegspring.gateway.wire.LoadStatement
 import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.time.MonotonicClock
 import org.nutmegspring.time.MonotonicTime
@@ -28,9 +29,24 @@
     /** Records the answer of [endpoint] to a request that was sent at [sentAt]. */
     fun recordAnswer(endpoint: EndpointId, answer: AnswerFacts, sentAt: MonotonicTime) {
         if (answer.isOtherEndpoint) return
+        recordLoad(endpoint, answer.load)
         change(endpoint) { it.recordAnswer(answer.requestsPerSecond, sentAt, clock.now()) }
     }
 
+    private fun recordLoad(endpoint: EndpointId, load: LoadStatement) {
+        val state = endpoints.findState(endpoint) ?: return
+        when (load) {
+            LoadStatement.None -> Unit
+
+            is LoadStatement.Told -> load.workTimeRatio?.let { state.speed.recordTold(it, clock.now()) }
+
+            is LoadStatement.Unreadable -> if (!state.hasUnreadableLoad) {
+                state.hasUnreadableLoad = true
+                log.record(DecisionEvent.Skipped("the load that $endpoint tells", "unreadable: ${load.text}"))
+            }
+        }
+    }
+
     /** Applies what another instance reports. */
     fun applyReport(report: EndpointLimitReport) = change(report.endpoint) {
         it.applyPeerEvidence(report.requestsPerSecond, clock.now() - report.ageMilliseconds.milliseconds)
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineAttempt.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineAttempt.kt
@@ -3,8 +3,10 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.withTimeoutOrNull
+import org.nutmegspring.endpoint.EngineRole
 import org.nutmegspring.gateway.endpoints.EndpointState
 import org.nutmegspring.gateway.wire.DispatchStage
+import org.nutmegspring.placement.EngineSpeeds
 import org.nutmegspring.time.MonotonicClock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -35,6 +37,8 @@
     var hasAnswered: Boolean = false
         private set
 
+    private val nominalPrefill = computeNominalPrefill(engine.countQueuedTokens(startedAt) + uncachedTokens)
+
     init {
         engine.ownLoad.addRequest(uncachedTokens)
     }
@@ -45,7 +49,15 @@
         hasFirstOutput = true
         hasAnswered = true
         engine.ownLoad.removeTokens(uncachedTokens)
-        engine.recordAnswer(expectedFirstOutput, clock.now() - startedAt, clock.now())
+        val now = clock.now()
+        engine.recordAnswer(expectedFirstOutput, now - startedAt, now)
+        if (uncachedTokens >= MINIMUM_LEARNT_TOKENS) engine.speed.recordPrefill(nominalPrefill, now - startedAt, now)
+    }
+
+    private fun computeNominalPrefill(tokens: Long): Duration {
+        val speeds = EngineSpeeds()
+        val roleFactor = if (engine.endpoint.role == EngineRole.DECODE) speeds.decodeRoleSpeedFactor else 1.0
+        return (tokens / (speeds.prefillTokensPerMillisecond * roleFactor)).milliseconds + CALL_TIME
     }
 
     /** Records that the engine refused the work. */
@@ -91,6 +103,12 @@
         const val WAIT_FACTOR = 2.0
         val MINIMUM_WAIT = 400.milliseconds
 
+        /** With fewer tokens the way to the engine and its current step take most of the time. */
+        const val MINIMUM_LEARNT_TOKENS = 1_000L
+
+        /** What a prefill takes beyond its tokens: the way to the engine and the rest of its current step. */
+        val CALL_TIME = 10.milliseconds
+
         /** Timers have millisecond resolution. */
         val ROUNDING = 1.milliseconds
     }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
@@ -6,6 +6,7 @@
 import org.nutmegspring.gateway.forwarding.QuotaTable
 import org.nutmegspring.gateway.peers.EndpointLimitReport
 import org.nutmegspring.gateway.peers.EndpointLoadReport
+import org.nutmegspring.gateway.peers.EndpointSpeedReport
 import org.nutmegspring.gateway.peers.PeerReport
 import org.nutmegspring.gateway.peers.PeerTable
 import org.nutmegspring.gateway.peers.PromptPartEntry
@@ -15,6 +16,7 @@
 import org.nutmegspring.placement.PromptPart
 import org.nutmegspring.platform.StoreEra
 import org.nutmegspring.time.MonotonicClock
+import kotlin.math.roundToInt
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -31,6 +33,7 @@
     private val clock: MonotonicClock,
 ) {
     private var nextUnreachable = 0
+    private var nextSpeed = 0
     private var reportedBusy: Set<EndpointId> = emptySet()
 
     /** Applies [report]; outdated reports and those of this instance are skipped. */
@@ -53,6 +56,9 @@
         report.unreachableEndpoints.forEach { endpoints.findState(it)?.recordUnreachableFromPeer(now, avoidanceEnd) }
         report.promptParts.forEach(crashGuard::applyEntry)
         report.limits.forEach(limits::applyReport)
+        report.speeds.forEach {
+            endpoints.findState(it.endpoint)?.speed?.adoptPeerFactor(it.workTimePercent / PERCENT)
+        }
         report.prefills.forEach { prefill ->
             val chain = prefill.chainHashes.zip(prefill.tokens, ::PromptPart)
             endpoints.findState(prefill.engine)?.recordPrefill(chain)
@@ -83,6 +89,16 @@
     /** Returns [count] limits that endpoints named to this instance, in turn when there are more. */
     fun nextLimits(count: Int): List<EndpointLimitReport> = limits.nextReports(count)
 
+    /** Returns the speeds of [count] endpoints that this instance has observed, in turn when there are more. */
+    fun nextSpeeds(count: Int): List<EndpointSpeedReport> {
+        val observed = endpoints.allStates().filter { it.speed.isTold }.mapNotNull { state ->
+            state.speed.ownFactor?.let { EndpointSpeedReport(state.endpoint.id, (it * PERCENT).roundToInt()) }
+        }
+        val reported = List(minOf(count, observed.size)) { observed[(nextSpeed + it) % observed.size] }
+        nextSpeed += reported.size
+        return reported
+    }
+
     /** Returns [count] of the endpoints that do not answer this instance, in turn when there are more. */
     fun nextUnreachableEndpoints(count: Int): List<EndpointId> {
         val unreachable = unreachableEndpoints()
@@ -118,5 +134,7 @@
 
         /** Maximum share of a service's endpoints that is reported as unreachable. */
         const val MAXIMUM_UNREACHABLE_SHARE = 0.5
+
+        const val PERCENT = 100.0
     }
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/ReportComposer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/ReportComposer.kt
@@ -63,6 +63,7 @@
             loads = reports.nextLoads(entries.loads),
             prefills = engineChoice.drainPrefillReports(entries.prefills),
             limits = reports.nextLimits(entries.limits),
+            speeds = reports.nextSpeeds(entries.limits),
             promptParts = reports.nextPromptParts(entries.promptParts),
             storeEra = reports.storeEra.value,
             storeEraAgeMilliseconds = reports.storeEraAge().inWholeMilliseconds,
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
@@ -80,6 +80,14 @@
     @CborLabel(3) val ageMilliseconds: Long,
 )
 
+/** The lasting speed of [endpoint] as the sender observed it: [workTimePercent] is 100 at the nominal speed. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+data class EndpointSpeedReport(
+    @CborLabel(1) val endpoint: EndpointId,
+    @CborLabel(2) val workTimePercent: Int,
+)
+
 /**
  * The report that an instance sends to the others several times in a few seconds. What a lost report told is told again
  * by a later one.
@@ -100,6 +108,7 @@
  * @property endedProcesses counts of processes that recently stopped reporting, for instances that started afterwards
  * @property chargeCoverageMilliseconds how far back the sender knows what the fleet charged, null for the quota window
  * @property chargeHistory what the fleet charged; only instances that have just started receive it
+ * @property speeds the lasting speeds of some endpoints, which the others use until they have observed them
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -126,6 +135,7 @@
     @CborLabel(20) val storeEraAgeMilliseconds: Long = 0,
     @CborLabel(21) val chargeCoverageMilliseconds: Long? = null,
     @CborLabel(22) val chargeHistory: ChargeHistoryReport? = null,
+    @CborLabel(25) val speeds: List<EndpointSpeedReport> = emptyList(),
 ) {
     /**
      * Returns how long the report is valid: at least [minimum], and [intervals] times the interval between reports. By
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/wire/RequestFacts.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/wire/RequestFacts.kt
@@ -73,6 +73,7 @@
  * @property hasNotRun whether the endpoint states that it did not run the request
  * @property isOtherEndpoint whether another endpoint has the address now; the request did not run there
  * @property requestsPerSecond the limit that the endpoint names for all instances together, null without one
+ * @property load what the endpoint tells of its load
  */
 data class AnswerFacts(
     val requestId: RequestId?,
@@ -80,8 +81,30 @@
     val hasNotRun: Boolean,
     val isOtherEndpoint: Boolean,
     val requestsPerSecond: Double? = null,
+    val load: LoadStatement = LoadStatement.None,
 )
 
+/** What an endpoint tells of its load in an answer. */
+sealed interface LoadStatement {
+    /** It tells nothing. */
+    data object None : LoadStatement
+
+    /** What it tells, [text], cannot be read. */
+    data class Unreadable(val text: String) : LoadStatement
+
+    /**
+     * The load when the answer was made.
+     *
+     * @property workTimeRatio how long work takes at the moment relative to usual, null if it is not told
+     */
+    data class Told(
+        val running: Int,
+        val waiting: Int,
+        val slots: Int,
+        val workTimeRatio: Double?,
+    ) : LoadStatement
+}
+
 /** A prompt that an engine has prefilled and holds for another engine. */
 data class PrefilledPrompt(
     val handle: String,
