--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
@@ -58,6 +58,9 @@
         metrics.registerGauge("gateway_engine_crashes") { crashGuard.crashCount.toDouble() }
         metrics.registerGauge("gateway_quarantined_prompt_parts") { crashGuard.quarantinedCount.toDouble() }
         metrics.registerGauge("gateway_quarantine_refusals") { crashGuard.refusalCount.toDouble() }
+        metrics.registerGauge("gateway_endpoints_with_speed") {
+            endpoints.allStates().count { it.speed.isTold }.toDouble()
+        }
         metrics.registerGauge("gateway_limited_endpoints") {
             endpoints.allStates().count { it.limit.requestsPerSecond != null }.toDouble()
         }
