--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
@@ -45,6 +45,8 @@
         metrics.registerGauge("gateway_report_received_bytes") { traffic.receivedBytes.toDouble() }
         metrics.registerGauge("gateway_report_size_bytes") { traffic.reportBytes.toDouble() }
         metrics.registerGauge("gateway_feed_calls") { inquiry.ownCalls.toDouble() }
+        metrics.registerGauge("gateway_feed_replica_reads") { inquiry.replicaReads.toDouble() }
+        metrics.registerGauge("gateway_feed_outdated_replica_reads") { inquiry.outdatedReplicaReads.toDouble() }
         metrics.registerGauge("gateway_relay_answers") { inquiry.answeredQuestions.toDouble() }
         metrics.registerGauge("gateway_registered_peers") { peers.registered.size.toDouble() }
         metrics.registerGauge("gateway_endpoints") { endpoints.allStates().size.toDouble() }
@@ -56,6 +58,9 @@
         metrics.registerGauge("gateway_engine_crashes") { crashGuard.crashCount.toDouble() }
         metrics.registerGauge("gateway_quarantined_prompt_parts") { crashGuard.quarantinedCount.toDouble() }
         metrics.registerGauge("gateway_quarantine_refusals") { crashGuard.refusalCount.toDouble() }
+        metrics.registerGauge("gateway_endpoints_with_speed") {
+            endpoints.allStates().count { it.speed.isTold }.toDouble()
+        }
         metrics.registerGauge("gateway_limited_endpoints") {
             endpoints.allStates().count { it.limit.requestsPerSecond != null }.toDouble()
         }
