Place shared prefixes at engines that all instances compute

Cause: with 60 instances reports come after the prompts that they name have been prefilled. Each instance chose engines by its own knowledge, so that many engines prefilled the same prefix.

Change: PrefixEngines ranks the engines for a prefix by rendezvous hashing and keeps as many as the prefix's share of the demand calls for (PrefixDemand), and those that are known to have it cached after other engines appeared. The next one is used only when all of these are full or their queue makes the prompt late.

The replay's prompts now arrive at one to three times their mean rate in a swing of 12 s, and reports hold what those of the slowest link hold (4 loads, 2 prompts).

--- a/decisions/src/main/kotlin/org/nutmegspring/placement/EnginePlacement.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/placement/EnginePlacement.kt
@@ -4,6 +4,8 @@
 import org.nutmegspring.identity.DataCentreId
 import org.nutmegspring.identity.EndpointId
 import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * What an instance knows of one engine when it places a request.
@@ -32,13 +34,45 @@
  * @property sharedTokens the tokens of the prefix that other prompts start with too
  * @property sharedPrefixHash identifies the shared prefix, so that all instances rank the engines for it alike
  * @property longestWaitMilliseconds the wait above which the request would be refused
+ * @property prefixShare the share of the shared prefix in the demand; null to place by [PlacementRule.EARLIEST]
  */
 data class PlacementRequest(
     val promptTokens: Int,
     val sharedTokens: Int,
     val sharedPrefixHash: Long,
     val longestWaitMilliseconds: Double = Double.MAX_VALUE,
-)
+    val prefixShare: Double? = null,
+) {
+    /** The rule that places the prompt. A prompt without a shared prefix has no engines of its own. */
+    val rule: PlacementRule
+        get() = if (prefixShare != null && sharedTokens > 0) PlacementRule.SHARED_PREFIX else PlacementRule.EARLIEST
+}
+
+/** How the engine that prefills a prompt is chosen. */
+enum class PlacementRule {
+    /** Any engine, where the first output is expected soonest by what the instance knows. */
+    EARLIEST,
+
+    /** One of the few engines that all instances compute for the shared prefix ([PrefixEngines]). */
+    SHARED_PREFIX,
+
+    ;
+
+    /** Selects the rule. */
+    companion object {
+        /** The prefill of 17,000 tokens, as the longest common prompts have, at 60 tokens per millisecond. */
+        private val PROMPT_TIME = 300.milliseconds
+
+        /**
+         * Returns the rule for a fleet whose instances report to each other every [reportInterval], as far as their
+         * number decides that. Reports that come later than a prompt takes name queues that have been worked off, and
+         * other instances have meanwhile chosen engines for the same prefixes. With earlier reports an instance knows
+         * enough to use any engine. The number of instances is the same for all of them, so that they use the same rule.
+         */
+        fun select(reportInterval: Duration): PlacementRule =
+            if (reportInterval > PROMPT_TIME) SHARED_PREFIX else EARLIEST
+    }
+}
 
 /** The engines that serve a request, and the expected delays. */
 sealed interface EnginePlan {
@@ -51,11 +85,15 @@
     /** The engine that prefills the prompt, as it was known when the plan was made. */
     val prefillEngine: EngineCandidate
 
+    /** The rule that chose [prefillEngine]. */
+    val rule: PlacementRule
+
     /** One engine prefills the prompt and generates the output. */
     data class Direct(
         override val prefillEngine: EngineCandidate,
         override val waitMilliseconds: Double,
         override val expectedFirstOutputMilliseconds: Double,
+        override val rule: PlacementRule = PlacementRule.EARLIEST,
     ) : EnginePlan
 
     /** [prefillEngine] prefills the prompt, and another engine fetches the KV cache and generates the output. */
@@ -63,6 +101,7 @@
         override val prefillEngine: EngineCandidate,
         override val waitMilliseconds: Double,
         override val expectedFirstOutputMilliseconds: Double,
+        override val rule: PlacementRule = PlacementRule.EARLIEST,
     ) : EnginePlan
 }
 
@@ -103,8 +142,9 @@
      * take it.
      */
     fun plan(request: PlacementRequest, candidates: List<EngineCandidate>, from: DataCentreId): EnginePlan? {
-        val prefillEngines = candidates.filter { it.role == EngineRole.PREFILL }.withFreeSlots()
-        val decodeEngines = candidates.filter { it.role != EngineRole.PREFILL }.withFreeSlots()
+        val all = selectByPrefix(request, candidates)
+        val prefillEngines = all.filter { it.role == EngineRole.PREFILL }.withFreeSlots()
+        val decodeEngines = all.filter { it.role != EngineRole.PREFILL }.withFreeSlots()
         val recomputationWeight = MAX_RECOMPUTATION_WEIGHT *
             computeBusyShare(prefillEngines + decodeEngines.filter { it.role == EngineRole.MIXED })
         val source = prefillEngines.filter { estimateWaitMilliseconds(it) <= request.longestWaitMilliseconds }
@@ -126,13 +166,15 @@
                     direct,
                     estimateWaitMilliseconds(direct),
                     estimatePrefillMilliseconds(direct, request) + FIRST_STEP_MILLISECONDS,
+                    request.rule,
                 )
             }
 
             source != null && target != null -> {
                 val expected = estimatePrefillMilliseconds(source, request) +
                     estimateTransferMilliseconds(target, source, request)
-                EnginePlan.Handover(source, estimateWaitMilliseconds(source), expected + FIRST_STEP_MILLISECONDS)
+                val firstOutput = expected + FIRST_STEP_MILLISECONDS
+                EnginePlan.Handover(source, estimateWaitMilliseconds(source), firstOutput, request.rule)
             }
 
             else -> {
@@ -141,6 +183,19 @@
         }
     }
 
+    /**
+     * Returns [candidates] without the engines that have no part in prefilling the shared prefix of [request]: of the
+     * prefill engines, or of the mixed ones where there are no prefill engines.
+     */
+    private fun selectByPrefix(request: PlacementRequest, candidates: List<EngineCandidate>): List<EngineCandidate> {
+        if (request.rule == PlacementRule.EARLIEST) return candidates
+        val role = if (candidates.any { it.role == EngineRole.PREFILL }) EngineRole.PREFILL else EngineRole.MIXED
+        val (engines, others) = candidates.partition { it.role == role }
+        return others + PrefixEngines.select(engines, request) {
+            it.hasFreeSlots() && estimateWaitMilliseconds(it) <= request.longestWaitMilliseconds
+        }
+    }
+
     /**
      * Returns the engine that generates the output after [source] has prefilled the prompt, or null when there is none.
      * It is chosen after the prefill, not before, because the prefill may take long and engines may leave meanwhile.
@@ -155,7 +210,9 @@
 
     /** Returns the engines that are believed to have free slots, or all when none has: requests may wait there. */
     private fun List<EngineCandidate>.withFreeSlots() =
-        filter { it.requests < it.slots * MAX_SLOT_UTILIZATION }.ifEmpty { this }
+        filter { it.hasFreeSlots() }.ifEmpty { this }
+
+    private fun EngineCandidate.hasFreeSlots() = requests < slots * MAX_SLOT_UTILIZATION
 
     /**
      * Returns an engine of the lowest cost up to a random difference, and its cost without it. A cost is an estimate
@@ -235,9 +292,11 @@
 
     /**
      * Returns a cost that ranks engines by a hash of the prefix and the engine. All instances thus choose the same
-     * engine for a prefix that no engine has cached. It is small for a prefix that is soon prefilled again.
+     * engine for a prefix that no engine has cached. It is small for a prefix that is soon prefilled again. Among the
+     * engines that [PrefixEngines] selects chance decides instead, since the demand needs all of them.
      */
     private fun computeRankMilliseconds(engine: EngineCandidate, request: PlacementRequest): Double {
+        if (request.rule == PlacementRule.SHARED_PREFIX) return random.nextDouble() * MAX_RANDOM_MILLISECONDS
         val rank = mixBits(request.sharedPrefixHash xor engine.id.value.hashCode().toLong()) ushr RANK_SHIFT
         val prefixMilliseconds = request.sharedTokens / speeds.prefillTokensPerMillisecond
         return rank * minOf(MAX_RANK_MILLISECONDS, prefixMilliseconds) / RANK_RANGE
--- a/decisions/src/test/kotlin/org/nutmegspring/placement/PlacementReplay.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/placement/PlacementReplay.kt
@@ -7,6 +7,8 @@
 import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.time.MonotonicTime
 import java.util.PriorityQueue
+import kotlin.math.PI
+import kotlin.math.cos
 import kotlin.math.ln
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -22,7 +24,7 @@
 )
 
 /**
- * A fleet under load; [prefillEngines] excludes those that generate, and all prompts arrive at [surge] times their rate.
+ * A fleet under load; [prefillEngines] excludes those that generate, and prompts arrive at [trough] to [surge] times their rate.
  * Times are in milliseconds.
  */
 internal data class ReplayCase(
@@ -32,6 +34,7 @@
     val tokensPerMillisecond: Double,
     val cacheTokens: Long,
     val classes: List<PromptClass>,
+    val trough: Double = 1.0,
     val surge: Double = 3.0,
     val reports: ReplayReports = ReplayReports(),
     val slowEngines: Int = 0,
@@ -41,12 +44,15 @@
     val seed: Int = 5,
 )
 
-/** How the instances report to each other: [lostShare] of the reports do not arrive. */
+/**
+ * How the instances report to each other: [lostShare] of the reports do not arrive. The entries of a report are those of
+ * the slowest link, 7 Mbit/s, with 59 other instances.
+ */
 internal data class ReplayReports(
     val interval: Double = 600.0,
     val delay: Double = 600.0,
-    val loads: Int = 8,
-    val prefills: Int = 4,
+    val loads: Int = 4,
+    val prefills: Int = 2,
     val lostShare: Double = 0.0,
 )
 
@@ -59,11 +65,13 @@
 internal class ReplayResult(
     val case: ReplayCase,
     private val offered: List<Offered>,
-    val repeatedTokens: Long,
+    private val repeated: List<Pair<Double, Int>>,
     val busiestOverMean: Double,
 ) {
     class Offered(val at: Double, val isOnTime: Boolean)
 
+    val repeatedTokens: Long get() = repeated.sumOf { it.second.toLong() }
+
     val onTime: Double get() = onTimeBetween(0.0, case.end)
 
     fun onTimeBetween(from: Double, until: Double): Double =
@@ -96,7 +104,7 @@
     private val instances = List(case.instances) { Instance(createRule(it)) }
     private val offered = mutableListOf<ReplayResult.Offered>()
     private val prefilledAnywhere = HashSet<Long>()
-    private var repeatedTokens = 0L
+    private val repeated = mutableListOf<Pair<Double, Int>>()
     private val limit = QueueWaitLimit()
     private val shortestObjective = case.classes.minOf { it.objectiveMilliseconds }.milliseconds
 
@@ -120,7 +128,7 @@
             val cached = cache.countCachedTokens(prompt.chain)
             var start = 0
             for (part in prompt.shared) {
-                if (start >= cached && part.chainHash in prefilledAnywhere) repeatedTokens += part.tokens
+                if (start >= cached && part.chainHash in prefilledAnywhere) repeated += now to part.tokens
                 prefilledAnywhere += part.chainHash
                 start += part.tokens
             }
@@ -246,7 +254,7 @@
             now = event.at
             event.run()
         }
-        return ReplayResult(case, offered, repeatedTokens, computeBusiestOverMean())
+        return ReplayResult(case, offered, repeated, computeBusiestOverMean())
     }
 
     private fun schedule(at: Double, run: () -> Unit) {
@@ -278,7 +286,7 @@
     }
 
     private fun scheduleArrival(kind: PromptClass) {
-        val at = now - ln(1 - random.nextDouble()) * 1_000 / (kind.requestsPerSecond * case.surge)
+        val at = now - ln(1 - random.nextDouble()) * 1_000 / (kind.requestsPerSecond * computeSurge(now))
         if (at > case.end) return
         val prefix = pickPrefix(kind)
         val instance = instances[random.nextInt(instances.size)]
@@ -289,6 +297,9 @@
         }
     }
 
+    private fun computeSurge(at: Double): Double =
+        case.trough + (case.surge - case.trough) * (1 - cos(2 * PI * at / SURGE_PERIOD)) / 2
+
     /** The prefix of rank r is asked for in proportion to 1 / (r + 1). */
     private fun pickPrefix(kind: PromptClass): Int {
         var left = random.nextDouble() * (1..kind.prefixes).sumOf { 1.0 / it }
@@ -323,6 +334,7 @@
         /** An instance learns of a change of engines after at most this time, in milliseconds. */
         const val FEED_DELAY = 500.0
         const val SLOW = 2.5
+        const val SURGE_PERIOD = 12_000.0
         const val ROOTS = 8
     }
 }
