Use the engines of a shared prefix in large fleets

Cause: the rule for shared prefixes was not used by the gateway.

EngineChoice counts the demand of the prefixes of each service, and the log line of a request names the rule.

Not run yet: the whole verify, real processes.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
@@ -11,11 +11,14 @@
 import org.nutmegspring.gateway.wire.PromptFacts
 import org.nutmegspring.gateway.wire.ServingDialect
 import org.nutmegspring.identity.DataCentreId
+import org.nutmegspring.identity.ServiceId
 import org.nutmegspring.placement.EngineCandidate
 import org.nutmegspring.placement.EnginePlacement
 import org.nutmegspring.placement.EnginePlan
 import org.nutmegspring.placement.EngineSpeeds
 import org.nutmegspring.placement.PlacementRequest
+import org.nutmegspring.placement.PlacementRule
+import org.nutmegspring.placement.PrefixDemand
 import org.nutmegspring.time.MonotonicClock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -33,7 +36,11 @@
     class Impossible(val reason: String) : Preparation
 }
 
-/** Selects engines by their estimated load and prefix cache, requests prefills and updates the estimates. */
+/**
+ * Selects engines by their estimated load and prefix cache, requests prefills and updates the estimates.
+ *
+ * @param placementRule returns the rule by which the fleet places prompts with shared prefixes
+ */
 class EngineChoice(
     private val endpoints: EndpointTable,
     private val sender: EndpointSender,
@@ -41,13 +48,17 @@
     private val retries: ServiceRetries,
     private val dataCentre: DataCentreId,
     private val clock: MonotonicClock,
+    private val placementRule: () -> PlacementRule,
 ) {
+    private val demandByService = HashMap<ServiceId, PrefixDemand>()
     private val pendingReports = ArrayDeque<PrefillReport>()
 
     /** Returns the plan for [run], which may wait for [maximumWait], or null when no engine can take it. */
     fun choose(run: RequestRun, maximumWait: Duration): EnginePlan? {
-        val request =
-            createPlacementRequest(run).copy(longestWaitMilliseconds = maximumWait.toDouble(DurationUnit.MILLISECONDS))
+        val request = createPlacementRequest(run).copy(
+            longestWaitMilliseconds = maximumWait.toDouble(DurationUnit.MILLISECONDS),
+            prefixShare = findPrefixShare(run),
+        )
         return createPlacement(run).plan(request, findCandidates(run), dataCentre)
     }
 
@@ -241,6 +252,21 @@
         )
     }
 
+    /**
+     * Returns the share of the shared prefix of [run] in the demand, or null if the rule in force does not use it. The
+     * demand is counted under either rule, since instances may join at any time; retries are no further demand.
+     */
+    private fun findPrefixShare(run: RequestRun): Double? {
+        val prompt = run.admitted.facts.prompt ?: return null
+        val prefix = prompt.chain.dropLast(1).lastOrNull()?.chainHash
+        val demand = demandByService.getOrPut(run.admitted.service, ::PrefixDemand)
+        if (run.trace.plan == null) demand.record(prefix, prompt.promptTokens - prompt.sharedTokens, clock.now())
+        return when (placementRule()) {
+            PlacementRule.EARLIEST -> null
+            PlacementRule.SHARED_PREFIX -> prefix?.let(demand::findShare)
+        }
+    }
+
     private fun createPlacement(run: RequestRun): EnginePlacement {
         val capabilities =
             run.admitted.configuration.services[run.admitted.service]?.engines ?: return EnginePlacement()
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -50,6 +50,7 @@
 import org.nutmegspring.lease.LeaseHolder
 import org.nutmegspring.membership.CallerTarget
 import org.nutmegspring.membership.InstancePhase
+import org.nutmegspring.placement.PlacementRule
 import org.nutmegspring.placement.ServicePlacement
 import org.nutmegspring.time.SuspensionAwareClock
 import org.nutmegspring.time.systemMonotonicClock
@@ -108,8 +109,11 @@
     private val limits = EndpointLimits(endpoints, clock, log)
     private val sender = EndpointSender(connections, platform.dialect, limits)
     private val retries = ServiceRetries(clock, { settings.bounds.toRetryBounds() }) { peers.registered.size + 1 }
+    private val pacing = ReportPacing(initial.instance.linkMegabitsPerSecond ?: DEFAULT_LINK_MEGABITS_PER_SECOND)
     private val engineChoice =
-        EngineChoice(endpoints, sender, platform.dialect, retries, initial.instance.dataCentre, clock)
+        EngineChoice(endpoints, sender, platform.dialect, retries, initial.instance.dataCentre, clock) {
+            PlacementRule.select(pacing.computeInterval(bytes = 0, peers = peers.registered.size))
+        }
     private val crashGuard = CrashGuard(EngineProbes(connections), clock, log) { exchange.interval }
     private val running = RunningRequests(
         ServiceForwarder(
@@ -144,7 +148,6 @@
     )
     private val reports = PeerReports(self, peers, quotas, endpoints, crashGuard, limits, history, clock)
 
-    private val pacing = ReportPacing(initial.instance.linkMegabitsPerSecond ?: DEFAULT_LINK_MEGABITS_PER_SECOND)
     private val composer = ReportComposer(
         LeaseHolder(self, incarnation),
         startedAtMilliseconds,
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
@@ -50,6 +50,7 @@
             "reason" to reason,
             "endpoints" to trace.endpoints.joinToString(",") { it.value },
             "plan" to trace.plan?.let(::planName),
+            "placementRule" to trace.plan?.rule?.name?.lowercase(),
             "reader" to trace.plan?.prefillEngine?.id?.value,
             "tokensAhead" to trace.plan?.prefillEngine?.queuedTokens,
             "heldTokens" to trace.plan?.prefillEngine?.cachedTokens,
