--- a/decisions/src/main/kotlin/org/nutmegspring/placement/EnginePlacement.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/placement/EnginePlacement.kt
@@ -67,7 +67,7 @@
          * Returns the rule for a fleet whose instances report to each other every [reportInterval], as far as their
          * number decides that. Reports that come later than a prompt takes name queues that have been worked off, and
          * other instances have meanwhile chosen engines for the same prefixes. With earlier reports an instance knows
-         * enough to use any engine. The number of instances is the same for all of them, so that they use the same rule.
+         * enough to use any engine. The number of instances is the same for all of them, so that they use one rule.
          */
         fun select(reportInterval: Duration): PlacementRule =
             if (reportInterval > PROMPT_TIME) SHARED_PREFIX else EARLIEST
--- a/decisions/src/main/kotlin/org/nutmegspring/placement/PrefixEngines.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/placement/PrefixEngines.kt
@@ -13,10 +13,10 @@
  */
 object PrefixEngines {
     /**
-     * Returns those of [engines] that may prefill the prompt of [request]: the first engines of its shared prefix, and of
-     * the engines that follow them those that are known to have it cached, as they have after other engines appeared.
-     * Only when none of these is suitable, the next suitable engine of the order is returned, and all engines when there
-     * is none.
+     * Returns those of [engines] that may prefill the prompt of [request]: the first engines of its shared prefix, and
+     * of the engines that follow them those that are known to have it cached, as they have after other engines
+     * appeared. Only when none of these is suitable, the next suitable engine of the order is returned, and all engines
+     * when there is none.
      *
      * @param isSuitable whether an engine is neither full nor has a queue that would make the prompt late
      */
--- a/decisions/src/test/kotlin/org/nutmegspring/placement/PlacementReplay.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/placement/PlacementReplay.kt
@@ -24,8 +24,8 @@
 )
 
 /**
- * A fleet under load; [prefillEngines] excludes those that generate, and prompts arrive at [trough] to [surge] times their rate.
- * Times are in milliseconds.
+ * A fleet under load; [prefillEngines] excludes those that generate, and prompts arrive at [trough] to [surge] times
+ * their rate. Times are in milliseconds.
  */
 internal data class ReplayCase(
     val name: String,
@@ -45,8 +45,8 @@
 )
 
 /**
- * How the instances report to each other: [lostShare] of the reports do not arrive. The entries of a report are those of
- * the slowest link, 7 Mbit/s, with 59 other instances.
+ * How the instances report to each other: [lostShare] of the reports do not arrive. The entries of a report are those
+ * of the slowest link, 7 Mbit/s, with 59 other instances.
  */
 internal data class ReplayReports(
     val interval: Double = 600.0,
