Avoid endpoints that answer with errors more often than others

Cause: an answer with an error counted as a success. A stream that may be resumed is retried at another engine when the first one answers with an error before any output.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
@@ -51,8 +51,20 @@
 
     private var isUnanswering = false
 
-    /** Whether the endpoint is excluded at [now] because it does not answer this instance at all. */
-    fun isUnreachable(now: MonotonicTime): Boolean = isUnanswering && !health.canSend(now)
+    private var failingUntil: MonotonicTime? = null
+
+    /**
+     * Whether the endpoint is excluded at [now] because it does not answer this instance at all, or avoided because it
+     * answers with errors.
+     */
+    fun isUnreachable(now: MonotonicTime): Boolean =
+        (isUnanswering && !health.canSend(now)) || failingUntil?.let { now < it } ?: false
+
+    /** Avoids the endpoint until [until] because it answers with errors. */
+    fun avoidFailing(until: MonotonicTime) {
+        failingUntil = until
+        avoidUntil(until)
+    }
 
     /** Until when the endpoint is used although its entry has lapsed, or null while the entry exists. */
     var lapsesAt: MonotonicTime? = null
@@ -112,6 +124,7 @@
         if (!changed.describesSameAs(endpoint)) {
             isMisdirected = false
             avoidedUntil = null
+            failingUntil = null
         }
         endpoint = changed
         lapsesAt = null
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
@@ -24,6 +24,9 @@
     /** Whether the answer reports success. */
     val isSuccess: Boolean get() = status in SUCCESS
 
+    /** Whether the endpoint failed. */
+    val isServerError: Boolean get() = status >= FIRST_SERVER_ERROR
+
     /** What marks the end of the body. */
     val framing: BodyFraming
         get() = when {
@@ -40,6 +43,7 @@
 
     private companion object {
         val SUCCESS = 200..299
+        const val FIRST_SERVER_ERROR = 500
         val NOT_RUN_STATUSES = setOf(408, 421, 429, 503)
     }
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
@@ -62,6 +62,10 @@
         return createPlacement(run).plan(request, findCandidates(run), dataCentre)
     }
 
+    /** Whether there is an engine to which [run] was not sent yet. */
+    fun hasAlternative(run: RequestRun): Boolean =
+        endpoints.findUsable(run.admitted.service, clock.now(), run.excluded).isNotEmpty()
+
     /** Returns how long it takes until the limit of an engine permits [run], null if no limit stands in the way. */
     fun timeUntilTurn(run: RequestRun): Duration? = endpoints.timeUntilTurn(run.admitted.service, clock.now())
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/ServiceForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/ServiceForwarder.kt
@@ -3,6 +3,7 @@
 import org.nutmegspring.failure.Effect
 import org.nutmegspring.failure.Failure
 import org.nutmegspring.gateway.configuration.isRepeatable
+import org.nutmegspring.gateway.endpoints.EndpointErrors
 import org.nutmegspring.gateway.endpoints.EndpointState
 import org.nutmegspring.gateway.endpoints.EndpointTable
 import org.nutmegspring.gateway.http.withoutHopByHopHeaders
@@ -22,6 +23,7 @@
     private val usage: UsageCounter,
     private val dataCentre: DataCentreId,
     private val clock: MonotonicClock,
+    private val errors: EndpointErrors,
 ) {
     private class WholeAnswer(val head: AnswerHead, val body: ByteArray)
 
@@ -43,7 +45,7 @@
             run.excluded += endpoint.endpoint.id
             last = when (val outcome = attempt(run, endpoint)) {
                 is Outcome.Answered -> {
-                    val again = outcome.answer.head.status >= FIRST_SERVER_ERROR && canRetryAnswered(run)
+                    val again = outcome.answer.head.isServerError && canRetryAnswered(run)
                     if (!again || !canRetryElsewhere(run)) return deliver(run, outcome.answer)
                     RunEnd.Failed("the endpoint answered ${outcome.answer.head.status}", isTimeout = false)
                 }
@@ -114,6 +116,7 @@
         when (outcome) {
             is Outcome.Answered -> {
                 endpoint.recordSuccess()
+                errors.recordAnswer(endpoint, outcome.answer.head.status)
                 endpoint.recordAnswer(run.admitted.route.objective * TYPICAL_OBJECTIVE_SHARE, elapsed, now)
             }
 
@@ -168,8 +171,6 @@
         }
 
     private companion object {
-        const val FIRST_SERVER_ERROR = 500
-
         /** The typical answer time as a share of the objective. */
         const val TYPICAL_OBJECTIVE_SHARE = 0.3
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -7,6 +7,7 @@
 import org.nutmegspring.failure.Peer
 import org.nutmegspring.failure.Step
 import org.nutmegspring.gateway.configuration.isRepeatable
+import org.nutmegspring.gateway.endpoints.EndpointErrors
 import org.nutmegspring.gateway.endpoints.EndpointState
 import org.nutmegspring.gateway.http.AnswerPart
 import org.nutmegspring.gateway.http.withoutHopByHopHeaders
@@ -30,6 +31,7 @@
     private val usage: UsageCounter,
     private val limit: QueueWaitLimit,
     private val crashGuard: CrashGuard,
+    private val errors: EndpointErrors,
 ) {
     /** Serves [run]. */
     suspend fun serve(run: RequestRun): RunEnd {
@@ -239,6 +241,7 @@
                 if (!progress.isStarted) start(run, progress, head)
                 run.exchange.finish()
                 choice.recordSuccess(run, prepared)
+                errors.recordAnswer(prepared.engine, head.status)
                 crashGuard.recordCompletion(run.sharedParts)
                 AttemptEnd.Delivered(head.status)
             }
@@ -299,6 +302,10 @@
         val body = awaitWithin(run.timeLeft()) { started.answer.readBody(address) }
             ?: return recordFailure(run, prepared, run.timeoutFailure(address))
         val bytes = body.fold({ return recordFailure(run, prepared, it) }, { it })
+        errors.recordAnswer(prepared.engine, started.head.status)
+        if (started.head.isServerError && canRetryAnswered(run)) {
+            return recordFailure(run, prepared, brokenAnswer(prepared, "answered ${started.head.status}"))
+        }
         if (progress.isStarted || started.head.isNotRunStatus || started.head.isSuccess) {
             return recordFailure(run, prepared, brokenAnswer(prepared, "answered ${started.head.status} without proof"))
         }
@@ -306,6 +313,10 @@
         return AttemptEnd.Delivered(started.head.status)
     }
 
+    /** Whether a request that an engine answered with an error may be sent to another engine. */
+    private fun canRetryAnswered(run: RequestRun): Boolean = run.admitted.route.kind.isRepeatable &&
+        run.canRetry(Effect.UNKNOWN) && retries.isRetryAllowed(run.admitted.service) && choice.hasAlternative(run)
+
     /** Waits for the next part; before the first output of a retryable request, only while the engine is responsive. */
     private suspend fun awaitNextPart(
         run: RequestRun,
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.withContext
 import org.nutmegspring.admission.QueueWaitLimit
 import org.nutmegspring.gateway.endpoints.EndpointChange
+import org.nutmegspring.gateway.endpoints.EndpointErrors
 import org.nutmegspring.gateway.endpoints.EndpointListCurrency
 import org.nutmegspring.gateway.endpoints.EndpointTable
 import org.nutmegspring.gateway.endpoints.InstanceTurns
@@ -97,8 +98,12 @@
     private val peers = PeerTable(self, incarnation)
     private val turns =
         InstanceTurns(self, { peers.registered.keys }) { System.currentTimeMillis().milliseconds }
+    private val errors = EndpointErrors(clock, log)
     private val endpoints = EndpointTable(::findCacheCapacity, turns) { endpoint, change ->
-        if (change == EndpointChange.APPEARED || change == EndpointChange.GONE) connections.closeIdle(endpoint.address)
+        if (change == EndpointChange.APPEARED || change == EndpointChange.GONE) {
+            connections.closeIdle(endpoint.address)
+            errors.forget(endpoint)
+        }
         log.record(DecisionEvent.EndpointChanged(endpoint, change))
     }
     private val listCurrency = EndpointListCurrency(endpoints, currentConfiguration.answers) {
@@ -124,8 +129,9 @@
             usage,
             initial.instance.dataCentre,
             clock,
+            errors,
         ),
-        StreamForwarder(engineChoice, sender, retries, usage, QueueWaitLimit(), crashGuard),
+        StreamForwarder(engineChoice, sender, retries, usage, QueueWaitLimit(), crashGuard, errors),
     )
     private var phase = InstancePhase.JOINING
     private val servers = mutableListOf<HttpServer>()
@@ -199,6 +205,7 @@
         // Opens the exchange, which what the servers answer depends on.
         gauges.register(metrics)
         metrics.registerGauge("gateway_running_requests") { running.count.toDouble() }
+        metrics.registerGauge("gateway_failing_endpoints_avoided") { errors.avoidedCount.toDouble() }
         startServer(settings.addresses.metrics, DefaultServerLimits, createMetricsHandler(metrics::scrape))
         val keepSeconds = { minOf(ADDRESS_KEEP_SECONDS, settings.bounds.addressKeepSeconds ?: ADDRESS_KEEP_SECONDS) }
         startServer(
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
@@ -180,6 +180,21 @@
         )
     }
 
+    /** An endpoint that answers with errors more often than the others is avoided for [duration]. */
+    class EndpointFailing(
+        private val endpoint: ServingEndpoint,
+        private val status: Int,
+        private val duration: Duration,
+    ) : DecisionEvent {
+        override val name: String get() = "endpoint failing"
+
+        override fun fields(): Map<String, Any?> = mapOf(
+            "endpoint" to endpoint.id.value,
+            "status" to status,
+            "avoidedMilliseconds" to duration.inWholeMilliseconds,
+        )
+    }
+
     /** The endpoint table changed. */
     class EndpointChanged(
         private val endpoint: ServingEndpoint,
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
@@ -98,7 +98,7 @@
  * @property evidenceAgeMilliseconds the age of the evidence that its configuration is the newest, null without evidence
  * @property isDutyHolder whether the sender holds the duties
  * @property changingEngines engines to which the sender sends orders to change their role
- * @property unreachableEndpoints endpoints that do not answer the sender
+ * @property unreachableEndpoints endpoints that do not answer the sender, or answer it with errors
  * @property charges units charged since the process started, of some organisations; those of the others are unchanged
  * @property windows counts of requests; only instances that take part in the duties receive them
  * @property promptParts prompt parts under which engines crashed, told again until they expire
