Translate evacuations into a feed of data centres

Cause: the objects of kind evacuations say all by their names; their contents may be anything. Change: PlatformPorts.evacuations. Its feed reads names only, so that no content is reported as unreadable. The other feeds are parsed as before.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/store/PlatformPorts.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/store/PlatformPorts.kt
@@ -69,6 +69,9 @@
     /** The feed of endpoints, each as it describes itself. */
     val endpoints: StoreFeed<ServingEndpoint>
 
+    /** The feed of evacuated data centres, an object each. Followed only where the bound for evacuations is set. */
+    val evacuations: StoreFeed<DataCentreId>
+
     /** The store of the gateway's own objects. */
     val store: ObjectStore
 
