Send nothing to endpoints of an evacuated data centre

Cause: evacuations were not known, so that requests went on reaching the endpoints. EndpointTable finds no endpoints in an evacuated data centre, on which plain services, prefills, decodes and retries depend; prompts held there are not freed, and engines not probed. A request that only evacuated endpoints could take is refused at once. An instance is ready, and sends anything, only once the feed was listed. Changes are logged with the age of the evidence, and counted in gateway_evacuated_data_centres. Tested: EvacuationSpec (5 instances, store stand-in). Without the check in EndpointTable 4 of its tests fail. Each of these faults alone makes one fail: prefills ignore the evacuation; held prompts are freed there; the first listing is not awaited; the feed is followed without a bound. EngineProbesSpec fails when probes ignore it. FeedRelaySpec, GatewaySpec, FeedFollowerSpec, RestoredStoreSpec and EndpointTableSpec pass as before.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointTable.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointTable.kt
@@ -3,6 +3,7 @@
 import org.nutmegspring.currency.FreshnessEvidence
 import org.nutmegspring.gateway.store.FeedEvent
 import org.nutmegspring.gateway.store.Listing
+import org.nutmegspring.identity.DataCentreId
 import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.identity.ServiceId
 import org.nutmegspring.platform.ListedState
@@ -31,10 +32,15 @@
     OUTDATED,
 }
 
-/** The endpoints that the platform's store lists, with what this instance knows of each. */
+/**
+ * The endpoints that the platform's store lists, with what this instance knows of each.
+ *
+ * @param permits whether endpoints in a data centre may get anything from this instance; not while it is evacuated
+ */
 class EndpointTable(
     private val cacheCapacity: (ServiceId) -> Long,
     private val turns: InstanceTurns,
+    val permits: (DataCentreId) -> Boolean = { true },
     private val onChange: (ServingEndpoint, EndpointChange) -> Unit,
 ) {
     private val states = LinkedHashMap<EndpointId, EndpointState>()
@@ -81,7 +87,16 @@
     /** Counts a request that is about to be sent to [id]. Returns false if the limit of the endpoint permits none. */
     fun tryAcquire(id: EndpointId): Boolean = states[id]?.limit?.tryAcquire(turns) ?: true
 
-    private fun findLive(service: ServiceId, now: MonotonicTime): List<EndpointState> = states.values.filter {
+    /** Whether endpoints of [service] could take work at [now], but all of them are in evacuated data centres. */
+    fun isEvacuated(service: ServiceId, now: MonotonicTime): Boolean =
+        findListed(service, now).let { listed ->
+            listed.isNotEmpty() && listed.none { permits(it.endpoint.dataCentre) }
+        }
+
+    private fun findLive(service: ServiceId, now: MonotonicTime): List<EndpointState> =
+        findListed(service, now).filter { permits(it.endpoint.dataCentre) }
+
+    private fun findListed(service: ServiceId, now: MonotonicTime): List<EndpointState> = states.values.filter {
         it.endpoint.service == service && it.endpoint.state == ListedState.LIVE && !it.isMisdirected &&
             (it.lapsesAt?.let { until -> now < until } ?: true)
     }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
@@ -51,8 +51,9 @@
         return createPlacement(run).plan(request, findCandidates(run), dataCentre)
     }
 
-    /** Returns how long it takes until the limit of an engine permits [run], null if no limit stands in the way. */
-    fun timeUntilTurn(run: RequestRun): Duration? = endpoints.timeUntilTurn(run.admitted.service, clock.now())
+    /** Returns how [run] ends if no engine can take it, for [reason]; [pause] is when no limit stands in the way. */
+    fun createUnplacedEnd(run: RequestRun, reason: String, pause: Duration): RunEnd.NotRun =
+        endpoints.createUnplacedEnd(run.admitted.service, clock.now(), reason, pause)
 
     /** Requests the prefill if [plan] is a handover, and returns where to send the request next. */
     suspend fun prepare(run: RequestRun, plan: EnginePlan): Preparation {
@@ -89,7 +90,7 @@
                 handover.plan.prefillEngine,
             )?.let(endpoints::findState)
         if (decodeEngine == null) {
-            sender.free(handover.prefillEngine, handover.handle)
+            free(handover)
             return Preparation.Impossible("no engine generates")
         }
         // After two decode engines refuse a handle, it is no longer valid.
@@ -121,7 +122,13 @@
     suspend fun release(run: RequestRun) {
         val handover = run.pendingHandover ?: return
         run.pendingHandover = null
-        sender.free(handover.prefillEngine, handover.handle)
+        free(handover)
+    }
+
+    /** Frees the prompt of [handover], unless its engine may get no requests; then the engine frees it in time. */
+    private suspend fun free(handover: PendingHandover) {
+        val engine = handover.prefillEngine
+        if (endpoints.permits(engine.endpoint.dataCentre)) sender.free(engine, handover.handle)
     }
 
     /** Records that [prepared] failed, [refusal] when it stated that it did not run the request. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineProbes.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineProbes.kt
@@ -5,18 +5,28 @@
 import org.nutmegspring.gateway.endpoints.ServingEndpoint
 import org.nutmegspring.gateway.http.ConnectionProbe
 import org.nutmegspring.gateway.http.EndpointConnections
+import org.nutmegspring.identity.DataCentreId
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Probes engines that cut off an answer, to tell a crash of the process from a fault of one connection.
  *
  * All requests in flight at an engine break off with it, so probes at the same time share one connection.
+ *
+ * @param permits whether engines in a data centre may be probed
  */
-class EngineProbes(private val connections: EndpointConnections) {
+class EngineProbes(
+    private val connections: EndpointConnections,
+    private val permits: (DataCentreId) -> Boolean = { true },
+) {
     private val running = HashMap<String, CompletableDeferred<ConnectionProbe>>()
 
-    /** Returns whether [engine] accepts connections. An engine that does not answer in time is unanswered. */
+    /**
+     * Returns whether [engine] accepts connections. An engine that does not answer in time, or that may not be probed,
+     * is unanswered.
+     */
     suspend fun probe(engine: ServingEndpoint): ConnectionProbe {
+        if (!permits(engine.dataCentre)) return ConnectionProbe.UNANSWERED
         val address = engine.address
         running[address]?.let { return it.await() }
         val result = CompletableDeferred<ConnectionProbe>()
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/ServiceForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/ServiceForwarder.kt
@@ -33,8 +33,9 @@
 
     /** Serves [run]. */
     suspend fun serve(run: RequestRun): RunEnd {
-        val retryAfter = endpoints.timeUntilTurn(run.admitted.service, clock.now()) ?: RETRY_PAUSE
-        var last: RunEnd = RunEnd.NotRun("no endpoint can take the request", retryAfter)
+        val service = run.admitted.service
+        var last: RunEnd =
+            endpoints.createUnplacedEnd(service, clock.now(), "no endpoint can take the request", RETRY_PAUSE)
         while (true) {
             val endpoint = choose(run) ?: return last
             val isFurther = run.trace.endpoints.isNotEmpty()
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -34,7 +34,7 @@
     /** Serves [run]. */
     suspend fun serve(run: RequestRun): RunEnd {
         val progress = StreamProgress(run.admitted.facts.lastEvent)
-        var last: RunEnd = RunEnd.NotRun("no engine can take the request", choice.timeUntilTurn(run) ?: RETRY_PAUSE)
+        var last: RunEnd = choice.createUnplacedEnd(run, "no engine can take the request", RETRY_PAUSE)
         while (true) {
             when (val next = nextAttempt(run, progress, last)) {
                 is Next.Ended -> {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
 import org.nutmegspring.admission.QueueWaitLimit
+import org.nutmegspring.evacuation.EvacuationState
 import org.nutmegspring.gateway.endpoints.EndpointChange
 import org.nutmegspring.gateway.endpoints.EndpointListCurrency
 import org.nutmegspring.gateway.endpoints.EndpointTable
@@ -45,6 +46,7 @@
 import org.nutmegspring.gateway.peers.ReportPacing
 import org.nutmegspring.gateway.settings.GatewaySettings
 import org.nutmegspring.gateway.store.StoreHistory
+import org.nutmegspring.identity.DataCentreId
 import org.nutmegspring.identity.Incarnation
 import org.nutmegspring.identity.ServiceId
 import org.nutmegspring.lease.LeaseHolder
@@ -96,7 +98,10 @@
     private val peers = PeerTable(self, incarnation)
     private val turns =
         InstanceTurns(self, { peers.registered.keys }) { System.currentTimeMillis().milliseconds }
-    private val endpoints = EndpointTable(::findCacheCapacity, turns) { endpoint, change ->
+
+    /** Null where the settings had no bound for evacuations at the start. */
+    private val evacuations = initial.bounds.evacuationMilliseconds?.let { EvacuationState(it.milliseconds) }
+    private val endpoints = EndpointTable(::findCacheCapacity, turns, ::permits) { endpoint, change ->
         if (change == EndpointChange.APPEARED || change == EndpointChange.GONE) connections.closeIdle(endpoint.address)
         log.record(DecisionEvent.EndpointChanged(endpoint, change))
     }
@@ -110,7 +115,7 @@
     private val retries = ServiceRetries(clock, { settings.bounds.toRetryBounds() }) { peers.registered.size + 1 }
     private val engineChoice =
         EngineChoice(endpoints, sender, platform.dialect, retries, initial.instance.dataCentre, clock)
-    private val crashGuard = CrashGuard(EngineProbes(connections), clock, log) { exchange.interval }
+    private val crashGuard = CrashGuard(EngineProbes(connections, ::permits), clock, log) { exchange.interval }
     private val running = RunningRequests(
         ServiceForwarder(
             endpoints,
@@ -191,10 +196,13 @@
     private fun findCacheCapacity(service: ServiceId): Long =
         currentConfiguration.configuration?.services?.get(service)?.engines?.cacheCapacityTokens ?: DEFAULT_CACHE_TOKENS
 
+    private fun permits(dataCentre: DataCentreId): Boolean = evacuations?.permits(dataCentre) ?: true
+
     internal fun start() {
         log.record(DecisionEvent.PhaseChanged("starting", "instance $self, incarnation $incarnation"))
         // Opens the exchange, which what the servers answer depends on.
         gauges.register(metrics)
+        evacuations?.registerGauges(metrics, clock)
         metrics.registerGauge("gateway_running_requests") { running.count.toDouble() }
         startServer(settings.addresses.metrics, DefaultServerLimits, createMetricsHandler(metrics::scrape))
         val keepSeconds = { minOf(ADDRESS_KEEP_SECONDS, settings.bounds.addressKeepSeconds ?: ADDRESS_KEEP_SECONDS) }
@@ -277,6 +285,11 @@
         )
         val endpointListener = EndpointListener(endpoints, clock, log)
         feeds.follow(tasks, "endpoints", platform.endpoints, endpointListener, InstanceFeeds.ENDPOINT_PACE)
+        if (evacuations != null) {
+            val pace = EvacuationListener.paceFor(evacuations.retention)
+            val listener = EvacuationListener(evacuations, clock, log)
+            feeds.follow(tasks, "evacuations", platform.evacuations, listener, pace)
+        }
         val kind = InstanceRegistration.KIND
         val instances = InstanceListener(peers, quotas, clock, registration::decode, log)
         feeds.follow(tasks, kind, platform.objectFeed(kind), instances, InstanceFeeds.INSTANCE_PACE)
@@ -293,7 +306,8 @@
             currentConfiguration.recordReported(peers.newestConfiguration(now), now)
             crashGuard.update()
             quotas.updateMembers(peers.registered.keys)
-            val isServing = currentConfiguration.configuration != null && listCurrency.isRecent(now)
+            val isServing = currentConfiguration.configuration != null && listCurrency.isRecent(now) &&
+                evacuations?.isListed ?: true
             if (phase == InstancePhase.JOINING && isServing) {
                 phase = InstancePhase.READY
                 log.record(DecisionEvent.PhaseChanged("ready", "configuration and endpoints are known"))
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
@@ -1,5 +1,6 @@
 package org.nutmegspring.gateway.observe
 
+import org.nutmegspring.evacuation.EvacuationChange
 import org.nutmegspring.failure.Failure
 import org.nutmegspring.gateway.endpoints.EndpointChange
 import org.nutmegspring.gateway.endpoints.ServingEndpoint
@@ -196,6 +197,18 @@
         )
     }
 
+    /** A data centre was evacuated, or is no longer; the age is that of the evidence. */
+    class EvacuationChanged(private val change: EvacuationChange) : DecisionEvent {
+        override val isExempt: Boolean get() = true
+        override val name: String get() = "evacuation changed"
+
+        override fun fields(): Map<String, Any?> = mapOf(
+            "dataCentre" to change.dataCentre.value,
+            "change" to change.kind.name.lowercase(),
+            "evidenceAgeMilliseconds" to change.age.inWholeMilliseconds,
+        )
+    }
+
     /** A configuration was applied. */
     class ConfigurationApplied(
         private val version: Long,
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/store/FeedFollower.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/store/FeedFollower.kt
@@ -172,7 +172,7 @@
             isLost = true
             listener.onLost(failure)
         }
-        backoff = (backoff * 2).coerceIn(MINIMUM_BACKOFF, MAXIMUM_BACKOFF)
+        backoff = (backoff * 2).coerceIn(MINIMUM_BACKOFF, pace.maximumBackoff)
         delay(backoff * random.nextDouble(MINIMUM_JITTER, 1.0))
     }
 
@@ -180,9 +180,6 @@
         /** Several times what a slow store needs to answer, yet short enough to detect a store that does not answer. */
         val LIST_TIMEOUT = 2.seconds
         val MINIMUM_BACKOFF = 50.milliseconds
-
-        /** Limits the charged calls to a store that is down, yet detects its recovery well within two seconds. */
-        val MAXIMUM_BACKOFF = 400.milliseconds
         const val MINIMUM_JITTER = 0.5
 
         /** The changes are there already; the wait is for those that the relay only may have seen. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/store/FeedWitness.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/store/FeedWitness.kt
@@ -69,17 +69,23 @@
  * @property relayWait the same at a relay, on whose evidence that of others is based
  * @property pause the time between an answer with changes and the next call, so that changes in quick succession come
  * with one answer
+ * @property statementMargin the time for the answer of the store and the way from the relay
+ * @property maximumBackoff the longest time between calls to a store that does not answer
  */
 data class FeedPace(
     val wait: Duration,
     val relayWait: Duration = wait,
     val pause: Duration = Duration.ZERO,
+    val statementMargin: Duration = DEFAULT_STATEMENT_MARGIN,
+    val maximumBackoff: Duration = DEFAULT_MAXIMUM_BACKOFF,
 ) {
     /** The age up to which a statement of a relay that the store answers is expected. */
-    val maximumStatementAge: Duration get() = relayWait * 2 + STATEMENT_MARGIN
+    val maximumStatementAge: Duration get() = relayWait * 2 + statementMargin
 
     private companion object {
-        /** For the answer of the store and the way from the relay. */
-        val STATEMENT_MARGIN = 400.milliseconds
+        val DEFAULT_STATEMENT_MARGIN = 400.milliseconds
+
+        /** Limits the charged calls to a store that is down, yet detects its recovery well within two seconds. */
+        val DEFAULT_MAXIMUM_BACKOFF = 400.milliseconds
     }
 }
