Order no roles and no endpoints in an evacuated data centre

Cause: spending must not grow in a data centre whose endpoints get no work, and role orders are sent to endpoints. Change: RoleOrderer balances the engines elsewhere, and checks again just before an order. EndpointOrderer has no target for an evacuated data centre; replaceEvacuated gives its endpoints to the others within their limits. With the present FleetSizing the others are at their limits already.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/EndpointOrderer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/EndpointOrderer.kt
@@ -1,6 +1,7 @@
 package org.nutmegspring.gateway.duties
 
 import kotlinx.coroutines.delay
+import org.nutmegspring.evacuation.replaceEvacuated
 import org.nutmegspring.gateway.configuration.ServiceDefinition
 import org.nutmegspring.gateway.endpoints.EndpointState
 import org.nutmegspring.gateway.endpoints.EndpointTable
@@ -56,7 +57,9 @@
     private fun findFleet(service: ServiceDefinition): Fleet? {
         val policy = service.scaling ?: return null
         val running = countRunning(service.id)
-        return sizing.computeTargets(policy, running.keys)?.let { Fleet(policy, running, it) }
+        val targets = sizing.computeTargets(policy, running.keys) ?: return null
+        val permitted = replaceEvacuated(targets, policy.maxEndpoints, endpoints.permits)
+        return Fleet(policy, running.filterKeys(endpoints.permits), permitted)
     }
 
     private suspend fun sendDueOrders(service: ServiceDefinition) {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/RoleOrderer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/RoleOrderer.kt
@@ -54,7 +54,10 @@
     }
 
     private suspend fun sendChanges(serviceEndpoints: List<EndpointState>) {
-        val engines = serviceEndpoints.filter { it.endpoint.role != null && it.endpoint.state == ListedState.LIVE }
+        val engines = serviceEndpoints.filter {
+            it.endpoint.role != null && it.endpoint.state == ListedState.LIVE &&
+                endpoints.permits(it.endpoint.dataCentre)
+        }
         if (engines.isEmpty() || !isListStable(engines)) return
         if (isGrowing(engines.first().endpoint.service)) return
         val now = clock.now()
@@ -94,9 +97,11 @@
     }
 
     private suspend fun sendOrder(engine: EndpointState, change: RoleChange) {
-        val isAccepted = caller.call("role", "${change.engine} to ${roleName(change.role)}") { holder, timeout ->
-            orderRole(engine.endpoint, change.role, holder, timeout)
-        }
+        val isAccepted =
+            endpoints.permits(engine.endpoint.dataCentre) &&
+                caller.call("role", "${change.engine} to ${roleName(change.role)}") { holder, timeout ->
+                    orderRole(engine.endpoint, change.role, holder, timeout)
+                }
         if (!isAccepted) changesByEngine[change.engine]?.refusesUntil = clock.now()
     }
 
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/EndpointOrdererSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/EndpointOrdererSpec.kt
@@ -26,10 +26,11 @@
 @OptIn(ExperimentalCoroutinesApi::class)
 class EndpointOrdererSpec {
     private val calls = RecordedDutyCalls()
-    private val table = EndpointTable({ 1_000 }, singleInstance) { _, _ -> }
+    private val table = EndpointTable({ 1_000 }, singleInstance, { !isEvacuated }) { _, _ -> }
     private val service = endpointOf("any").service
     private val policy = ScalingPolicy(minEndpoints = 1, maxEndpoints = 5, 4.seconds, interruptiblePriceRatio = 0.2)
     private var isHeld = true
+    private var isEvacuated = false
 
     private fun TestScope.start(scaling: ScalingPolicy? = policy): EndpointOrderer {
         val services = { listOf(ServiceDefinition(service, engines = null, scaling)) }
@@ -102,6 +103,15 @@
             assertEquals(0, calls.endpoints.size)
         }
 
+        @Test
+        fun `none is, while the data centre is evacuated`() = runTest {
+            isEvacuated = true
+            listEndpoints(steady = 3, interruptible = 0)
+            start()
+            testScheduler.advanceTimeBy(5.seconds)
+            assertEquals(0, calls.endpoints.size)
+        }
+
         @Test
         fun `none is, while another instance holds the duty`() = runTest {
             isHeld = false
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/RoleOrdererSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/RoleOrdererSpec.kt
@@ -24,8 +24,9 @@
 @OptIn(ExperimentalCoroutinesApi::class)
 class RoleOrdererSpec {
     private val orders = RecordedDutyCalls()
-    private val table = EndpointTable({ 1_000 }, singleInstance) { _, _ -> }
+    private val table = EndpointTable({ 1_000 }, singleInstance, { !isEvacuated }) { _, _ -> }
     private var isHeld = true
+    private var isEvacuated = false
 
     private fun TestScope.start(): RoleOrderer {
         val caller = dutyCaller(orders) { isHeld }
@@ -85,6 +86,20 @@
         }
     }
 
+    // Guards against EVAC: role orders to engines of an evacuated data centre, also when it is evacuated just before.
+    @Nested
+    inner class `while the data centre is evacuated` {
+        @Test
+        fun `nothing is ordered`() = runTest {
+            listEngines(prefill = 5, decode = 8)
+            val orderer = start()
+            while (orderer.changingEngines().isEmpty()) testScheduler.advanceTimeBy(50.milliseconds)
+            isEvacuated = true
+            testScheduler.advanceTimeBy(30.seconds)
+            assertEquals(0, orders.roles.size)
+        }
+    }
+
     @Nested
     inner class `while another instance holds the duty` {
         @Test
