--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -36,7 +36,7 @@
     /** Serves [run]. */
     suspend fun serve(run: RequestRun): RunEnd {
         val progress = StreamProgress(run.admitted.facts.lastEvent)
-        var last: RunEnd = RunEnd.NotRun("no engine can take the request", choice.timeUntilTurn(run) ?: RETRY_PAUSE)
+        var last: RunEnd = choice.createUnplacedEnd(run, "no engine can take the request", RETRY_PAUSE)
         while (true) {
             when (val next = nextAttempt(run, progress, last)) {
                 is Next.Ended -> {
@@ -303,11 +303,10 @@
             ?: return recordFailure(run, prepared, run.timeoutFailure(address))
         val bytes = body.fold({ return recordFailure(run, prepared, it) }, { it })
         errors.recordAnswer(prepared.engine, started.head.status)
-        if (started.head.isServerError && canRetryAnswered(run)) {
-            return recordFailure(run, prepared, brokenAnswer(prepared, "answered ${started.head.status}"))
-        }
-        if (progress.isStarted || started.head.isNotRunStatus || started.head.isSuccess) {
-            return recordFailure(run, prepared, brokenAnswer(prepared, "answered ${started.head.status} without proof"))
+        val isWithoutProof = progress.isStarted || started.head.isNotRunStatus || started.head.isSuccess
+        if (isWithoutProof || (started.head.isServerError && canRetryAnswered(run))) {
+            val reason = "answered ${started.head.status}" + if (isWithoutProof) " without proof" else ""
+            return recordFailure(run, prepared, brokenAnswer(prepared, reason))
         }
         run.exchange.respond(started.head.status, started.head.headers.withoutHopByHopHeaders(), bytes)
         return AttemptEnd.Delivered(started.head.status)
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
@@ -49,7 +49,6 @@
         metrics.registerGauge("gateway_feed_outdated_replica_reads") { inquiry.outdatedReplicaReads.toDouble() }
         metrics.registerGauge("gateway_relay_answers") { inquiry.answeredQuestions.toDouble() }
         metrics.registerGauge("gateway_registered_peers") { peers.registered.size.toDouble() }
-        metrics.registerGauge("gateway_endpoints") { endpoints.allStates().size.toDouble() }
         metrics.registerGauge("gateway_live_peers") { peers.liveReports(clock.now()).size.toDouble() }
         metrics.registerGauge("gateway_connections_opened") { connections.openedCount.toDouble() }
         metrics.registerGauge("gateway_connections_with_stray_bytes") { connections.strayBytesCount.toDouble() }
@@ -58,6 +57,13 @@
         metrics.registerGauge("gateway_engine_crashes") { crashGuard.crashCount.toDouble() }
         metrics.registerGauge("gateway_quarantined_prompt_parts") { crashGuard.quarantinedCount.toDouble() }
         metrics.registerGauge("gateway_quarantine_refusals") { crashGuard.refusalCount.toDouble() }
+        metrics.registerGauge("gateway_store_era") { storeEra()?.value?.toDouble() ?: -1.0 }
+        metrics.registerGauge("gateway_duty_held") { if (isHoldingDuties()) 1.0 else 0.0 }
+        registerEndpoints(metrics)
+    }
+
+    private fun registerEndpoints(metrics: GatewayMetrics) {
+        metrics.registerGauge("gateway_endpoints") { endpoints.allStates().size.toDouble() }
         metrics.registerGauge("gateway_endpoints_with_speed") {
             endpoints.allStates().count { it.speed.isTold }.toDouble()
         }
@@ -67,8 +73,6 @@
         metrics.registerGauge("gateway_limited_endpoint_requests") {
             endpoints.allStates().sumOf { it.limit.sentRequests }.toDouble()
         }
-        metrics.registerGauge("gateway_store_era") { storeEra()?.value?.toDouble() ?: -1.0 }
-        metrics.registerGauge("gateway_duty_held") { if (isHoldingDuties()) 1.0 else 0.0 }
     }
 
     /** Returns a snapshot. The longest delay of the event loop is counted from the previous one. */
