--- a/decisions/src/main/kotlin/org/nutmegspring/limits/SharedRateLimit.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/limits/SharedRateLimit.kt
@@ -8,12 +8,13 @@
  * Shares a rate that an endpoint names for all instances together, without messages between them.
  *
  * Turns begin one after the other at the rate of the limit, on the wall clock, and go round the instances in the order
- * of their ids. A turn admits one request and stays open until the next turn and [OPEN_TIME] have passed. In any span,
+ * of their ids. A turn admits one request and stays open until the next turn and [SHARED_TURN_OPEN_TIME] have passed. In any span,
  * the requests of all instances thus are at most the turns that were open during it, also when each instance's share is
  * far below one request.
  */
 class SharedRateLimit {
     private var lastTurnUsed: Duration? = null
+    private var lastShare: RateShare? = null
 
     /** Whether a turn is open at [now]. */
     fun isTurnOpen(share: RateShare, now: Duration): Boolean = timeUntilTurn(share, now) == Duration.ZERO
@@ -25,6 +26,24 @@
         return true
     }
 
+    /**
+     * Gives up the turns that began before [time] on the wall clock, because this instance may have used them and
+     * forgotten it.
+     */
+    fun discardTurnsBefore(time: Duration) {
+        lastTurnUsed = maxOf(lastTurnUsed ?: time, time)
+    }
+
+    /**
+     * Gives up the turns that began before [now] if the instances share the limit in another way than at the last call:
+     * another instance may have used them under the former order.
+     */
+    fun discardTurnsOfOtherOrder(share: RateShare, now: Duration) {
+        val last = lastShare
+        lastShare = share
+        if (last != null && (last.rank != share.rank || last.instances != share.instances)) discardTurnsBefore(now)
+    }
+
     /** Returns how long after [now] the next turn begins, zero if one is open. */
     fun timeUntilTurn(share: RateShare, now: Duration): Duration {
         if (share.requestsPerSecond <= 0) return Duration.INFINITE
@@ -36,17 +55,16 @@
         val spacing = 1.seconds / share.requestsPerSecond
         val round = spacing * share.instances
         val offset = spacing * share.rank
-        val oldestOpen = now - OPEN_TIME - spacing
+        val oldestOpen = now - SHARED_TURN_OPEN_TIME - spacing
         val after = maxOf(oldestOpen, lastTurnUsed?.takeIf { it <= now } ?: oldestOpen)
         val rounds = Math.floorDiv((after - offset).inWholeNanoseconds, round.inWholeNanoseconds) + 1
         return (rounds * round.inWholeNanoseconds).nanoseconds + offset
     }
-
-    private companion object {
-        val OPEN_TIME = 1.seconds
-    }
 }
 
+/** How long a turn of a [SharedRateLimit] stays open beyond the begin of the next one. */
+internal val SHARED_TURN_OPEN_TIME = 1.seconds
+
 /**
  * The part of a limit that one instance may use.
  *
