Limit what a cold endpoint gets from all instances

Endpoints of some services are cold after their start and crash when requests return to them at once. Entries state cold_ms, answers Nutmegspring-Cold-Ms, and services cold_start_s and cold_per_s.

EndpointLimit takes the smaller of the limit that the endpoint names and the one that its coldness allows, so that placement, retries, prefills and Retry-After follow without further rules. Probes of connections, freed handles and role orders use a turn of a cold endpoint as well. Reports carry cold endpoints and whether requests have been served (labels 23 and 24). Nothing changes without coldOverage in the settings or cold_per_s in the service.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/configuration/ServingConfiguration.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/configuration/ServingConfiguration.kt
@@ -95,16 +95,29 @@
     val linkMegabitsPerSecond: Double,
 )
 
+/**
+ * How the endpoints of a service start.
+ *
+ * @property duration how long an endpoint may be cold after it starts
+ * @property requestsPerSecond the requests that a cold endpoint sustains
+ */
+data class ColdStart(
+    val duration: Duration,
+    val requestsPerSecond: Double,
+)
+
 /**
  * A service to which requests are forwarded.
  *
  * @property engines the capabilities of its engines, null for a plain service
  * @property scaling the limits within which endpoints may be ordered, null when none may be
+ * @property coldStart how its endpoints start, null when they are never cold
  */
 data class ServiceDefinition(
     val id: ServiceId,
     val engines: EngineCapabilities?,
     val scaling: ScalingPolicy? = null,
+    val coldStart: ColdStart? = null,
 )
 
 /** How the requests of an organisation are charged to its quota. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/RoleOrderer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/RoleOrderer.kt
@@ -94,6 +94,10 @@
     }
 
     private suspend fun sendOrder(engine: EndpointState, change: RoleChange) {
+        if (!endpoints.tryContact(engine.endpoint.id)) {
+            changesByEngine.remove(engine.endpoint.id)
+            return
+        }
         val isAccepted = caller.call("role", "${change.engine} to ${roleName(change.role)}") { holder, timeout ->
             orderRole(engine.endpoint, change.role, holder, timeout)
         }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointLimit.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointLimit.kt
@@ -1,6 +1,7 @@
 package org.nutmegspring.gateway.endpoints
 
 import org.nutmegspring.identity.InstanceId
+import org.nutmegspring.limits.ColdAllowance
 import org.nutmegspring.limits.RateShare
 import org.nutmegspring.limits.SharedRateLimit
 import org.nutmegspring.time.MonotonicTime
@@ -23,8 +24,19 @@
     }
 }
 
-/** The limit that one endpoint names in its answers, and the requests that this instance sends it meanwhile. */
-class EndpointLimit {
+/**
+ * The limit that one endpoint names in its answers, and the requests that this instance sends it meanwhile.
+ *
+ * While the endpoint is cold, the smaller of the named limit and the one for cold endpoints is in force.
+ *
+ * @param knownSince when this instance learnt of the endpoint, on the wall clock. A cold endpoint gets no turns from
+ *   before: with 6.4 turns a second, an instance that is alone and restarts would use up to 7 of them a second time.
+ * @param findAllowance returns what the endpoint may get while it is cold, null when it is not
+ */
+class EndpointLimit(
+    private val knownSince: Duration = Duration.ZERO,
+    private val findAllowance: () -> ColdAllowance? = { null },
+) {
     private val turns = SharedRateLimit()
     private var isOwnEvidence = false
 
@@ -41,14 +53,30 @@
 
     /** Returns how long after now a request may be sent, zero if it may be at once. */
     fun timeUntilTurn(instances: InstanceTurns): Duration {
-        val limit = requestsPerSecond ?: return Duration.ZERO
-        return turns.timeUntilTurn(instances.share(effectiveRate(limit)), instances.now())
+        val cold = findColdAllowance(instances)
+        val rate = permittedRate(cold) ?: return Duration.ZERO
+        val wait = turns.timeUntilTurn(instances.share(rate), instances.now())
+        return if (cold == null) wait else minOf(wait, cold.remaining)
     }
 
     /** Counts a request that is about to be sent. Returns false if the limit does not permit it. */
     fun tryAcquire(instances: InstanceTurns): Boolean {
-        val limit = requestsPerSecond ?: return true
-        return turns.tryAcquire(instances.share(effectiveRate(limit)), instances.now()).also { if (it) sentRequests++ }
+        val rate = permittedRate(findColdAllowance(instances)) ?: return true
+        val isPermitted = turns.tryAcquire(instances.share(rate), instances.now())
+        if (isPermitted && requestsPerSecond != null) sentRequests++
+        return isPermitted
+    }
+
+    private fun findColdAllowance(instances: InstanceTurns): ColdAllowance? {
+        val cold = findAllowance() ?: return null
+        turns.discardTurnsBefore(knownSince)
+        turns.discardTurnsOfOtherOrder(instances.share(cold.requestsPerSecond), instances.now())
+        return cold
+    }
+
+    private fun permittedRate(cold: ColdAllowance?): Double? {
+        val named = requestsPerSecond?.let(::effectiveRate)
+        return listOfNotNull(named, cold?.requestsPerSecond).minOrNull()
     }
 
     /**
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
@@ -2,6 +2,8 @@
 
 import org.nutmegspring.endpoint.EngineRole
 import org.nutmegspring.identity.InstanceId
+import org.nutmegspring.limits.ColdEstimate
+import org.nutmegspring.limits.ColdPolicy
 import org.nutmegspring.placement.EngineCandidate
 import org.nutmegspring.placement.EngineLoad
 import org.nutmegspring.placement.PrefixCacheEstimate
@@ -21,6 +23,8 @@
     /** The endpoint as it last described itself. */
     var endpoint: ServingEndpoint,
     cacheCapacityTokens: Long,
+    private val cold: ColdEndpoints? = null,
+    knownSince: Duration = Duration.ZERO,
 ) {
     private class PeerLoad(val load: EngineLoad, var validUntil: MonotonicTime)
 
@@ -39,8 +43,11 @@
     /** The circuit breaker that excludes the endpoint after failures. */
     val health = EndpointHealth(HEALTH_SETTINGS)
 
-    /** The limit that the endpoint names. */
-    val limit = EndpointLimit()
+    /** Until when the endpoint is treated as cold. */
+    val coldness = ColdEstimate()
+
+    /** The limit that the endpoint names, and that for cold endpoints. */
+    val limit = EndpointLimit(knownSince) { cold?.findAllowance(this) }
 
     private var isUnanswering = false
 
@@ -72,6 +79,7 @@
     fun recordUnanswered(now: MonotonicTime) {
         isUnanswering = true
         health.recordFailure(now)
+        if (health.isTripped) coldness.recordUnreachable(now)
     }
 
     /** Records that the endpoint completed a request. */
@@ -100,6 +108,7 @@
         if (changed.bornAt != endpoint.bornAt || changed.address != endpoint.address) {
             cacheEstimate.clear()
             limit.reset()
+            coldness.reset()
         }
         if (!changed.describesSameAs(endpoint)) {
             isMisdirected = false
@@ -140,7 +149,7 @@
         cachedTokens = cacheEstimate.countCachedTokens(chain),
         requests = countRequests(now),
         slots = endpoint.slots,
-        slowdown = maxOf(1.0, currentSlowdown(now)),
+        slowdown = maxOf(1.0, currentSlowdown(now)) * coldSlowdown(),
     )
 
     /** Returns this endpoint as a candidate for a request to a plain service. */
@@ -149,9 +158,11 @@
         dataCentre = endpoint.dataCentre,
         requests = countRequests(now),
         slots = endpoint.slots,
-        slowdown = maxOf(1.0, currentSlowdown(now)),
+        slowdown = maxOf(1.0, currentSlowdown(now)) * coldSlowdown(),
     )
 
+    private fun coldSlowdown(): Double = if (cold?.findAllowance(this) == null) 1.0 else ColdPolicy.SLOWDOWN
+
     private fun unexpiredPeerLoads(now: MonotonicTime): List<EngineLoad> =
         peerLoads.values.filter { now < it.validUntil }.map { it.load }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointTable.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointTable.kt
@@ -35,6 +35,7 @@
 class EndpointTable(
     private val cacheCapacity: (ServiceId) -> Long,
     private val turns: InstanceTurns,
+    private val cold: ColdEndpoints? = null,
     private val onChange: (ServingEndpoint, EndpointChange) -> Unit,
 ) {
     private val states = LinkedHashMap<EndpointId, EndpointState>()
@@ -79,7 +80,16 @@
         findLive(service, now).minOfOrNull { it.limit.timeUntilTurn(turns) }?.takeIf { it > Duration.ZERO }
 
     /** Counts a request that is about to be sent to [id]. Returns false if the limit of the endpoint permits none. */
-    fun tryAcquire(id: EndpointId): Boolean = states[id]?.limit?.tryAcquire(turns) ?: true
+    fun tryAcquire(id: EndpointId): Boolean {
+        cold?.recordTraffic()
+        return states[id]?.limit?.tryAcquire(turns) ?: true
+    }
+
+    /** Counts a call to [id] other than a request of a caller. Returns false if the endpoint is cold and has no turn. */
+    fun tryContact(id: EndpointId): Boolean {
+        val state = states[id] ?: return true
+        return cold?.isKnownCold(state) != true || state.limit.tryAcquire(turns)
+    }
 
     private fun findLive(service: ServiceId, now: MonotonicTime): List<EndpointState> = states.values.filter {
         it.endpoint.service == service && it.endpoint.state == ListedState.LIVE && !it.isMisdirected &&
@@ -91,16 +101,17 @@
      * lapsed, so these endpoints stay in use until they have had time to register again.
      */
     fun replace(listing: Listing<ServingEndpoint>, regainedAt: MonotonicTime?, now: MonotonicTime) {
+        val isFirst = !isListed
         isListed = true
         val listed = listing.entries.map { EndpointId(it.name) }.toSet()
-        listing.entries.forEach { entry -> entry.value?.let(::addOrUpdate) }
+        listing.entries.forEach { entry -> entry.value?.let { addOrUpdate(it, isFirst) } }
         states.keys.filter { it !in listed }.forEach { handleRemoval(it, regainedAt, now) }
     }
 
     /** Applies one change. A removed entry may have lapsed if the store was unavailable until [regainedAt]. */
     fun applyChange(event: FeedEvent<ServingEndpoint>, regainedAt: MonotonicTime?, now: MonotonicTime) {
         when (event) {
-            is FeedEvent.Changed -> event.entry.value?.let(::addOrUpdate)
+            is FeedEvent.Changed -> event.entry.value?.let { addOrUpdate(it) }
             is FeedEvent.Removed -> handleRemoval(EndpointId(event.name), regainedAt, now)
         }
     }
@@ -110,17 +121,21 @@
         states.values.filter { state -> state.lapsesAt?.let { now >= it } ?: false }.forEach { remove(it.endpoint.id) }
     }
 
-    private fun addOrUpdate(endpoint: ServingEndpoint) {
+    private fun addOrUpdate(endpoint: ServingEndpoint, isFirstListing: Boolean = false) {
         val known = states[endpoint.id]
         if (isOutdated(endpoint, known)) return onChange(endpoint, EndpointChange.OUTDATED)
-        departed.remove(endpoint.id)
+        val former = departed.remove(endpoint.id)
         if (known == null) {
-            states[endpoint.id] = EndpointState(endpoint, cacheCapacity(endpoint.service))
+            val state = EndpointState(endpoint, cacheCapacity(endpoint.service), cold, turns.now())
+            states[endpoint.id] = state
+            cold?.recordAppearance(state, isFirstListing, former)
             onChange(endpoint, EndpointChange.APPEARED)
             return
         }
         val before = known.endpoint
+        val hasLapsed = known.lapsesAt != null
         known.updateDescription(endpoint)
+        cold?.recordUpdate(known, before, hasLapsed)
         when {
             before.describesSameAs(endpoint) -> Unit
             endpoint.state == ListedState.DEPARTING -> onChange(endpoint, EndpointChange.DEPARTING)
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
@@ -95,6 +95,7 @@
 
     /** Frees the prompt that [endpoint] holds as [handle]. */
     suspend fun free(endpoint: EndpointState, handle: String) {
+        if (!limits.tryContact(endpoint.endpoint.id)) return
         connections.exchange(endpoint.endpoint.address, dialect.freeHandle(handle), FREE_TIMEOUT)
     }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineProbes.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineProbes.kt
@@ -5,20 +5,27 @@
 import org.nutmegspring.gateway.endpoints.ServingEndpoint
 import org.nutmegspring.gateway.http.ConnectionProbe
 import org.nutmegspring.gateway.http.EndpointConnections
+import org.nutmegspring.identity.EndpointId
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Probes engines that cut off an answer, to tell a crash of the process from a fault of one connection.
  *
  * All requests in flight at an engine break off with it, so probes at the same time share one connection.
+ *
+ * @param mayContact counts a probe of an endpoint, and returns false if it must not be sent
  */
-class EngineProbes(private val connections: EndpointConnections) {
+class EngineProbes(
+    private val connections: EndpointConnections,
+    private val mayContact: (EndpointId) -> Boolean = { true },
+) {
     private val running = HashMap<String, CompletableDeferred<ConnectionProbe>>()
 
     /** Returns whether [engine] accepts connections. An engine that does not answer in time is unanswered. */
     suspend fun probe(engine: ServingEndpoint): ConnectionProbe {
         val address = engine.address
         running[address]?.let { return it.await() }
+        if (!mayContact(engine.id)) return ConnectionProbe.UNANSWERED
         val result = CompletableDeferred<ConnectionProbe>()
         running[address] = result
         var probed = ConnectionProbe.UNANSWERED
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/ServiceForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/ServiceForwarder.kt
@@ -50,7 +50,7 @@
 
                 is Outcome.Failed -> {
                     run.recordFailure(endpoint, outcome.failure)
-                    val end = createRunEnd(run, outcome.failure)
+                    val end = createRunEnd(run, outcome)
                     if (!run.canRetry(outcome.failure.effect)) return end
                     end
                 }
@@ -160,12 +160,12 @@
         return RunEnd.Delivered(answer.head.status)
     }
 
-    private fun createRunEnd(run: RequestRun, failure: Failure): RunEnd =
-        if (run.mayHaveRun) {
-            RunEnd.Failed(failure.message, isTimeout = run.timeLeft() == Duration.ZERO)
-        } else {
-            RunEnd.NotRun(failure.message, RETRY_PAUSE)
-        }
+    private fun createRunEnd(run: RequestRun, failed: Outcome.Failed): RunEnd {
+        val message = failed.failure.message
+        if (run.mayHaveRun) return RunEnd.Failed(message, isTimeout = run.timeLeft() == Duration.ZERO)
+        val untilTurn = endpoints.timeUntilTurn(run.admitted.service, clock.now())
+        return RunEnd.NotRun(message, untilTurn?.takeIf { failed.refusal == EndpointRefusal.LIMITED } ?: RETRY_PAUSE)
+    }
 
     private companion object {
         const val FIRST_SERVER_ERROR = 500
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -117,7 +117,7 @@
         run.admitted.configuration.shortestStreamObjective(run.admitted.service)
 
     private fun createImpossibleEnd(run: RequestRun, reason: String, last: RunEnd): RunEnd =
-        if (run.mayHaveRun) last else RunEnd.NotRun(reason, RETRY_PAUSE)
+        if (run.mayHaveRun) last else RunEnd.NotRun(reason, choice.timeUntilTurn(run) ?: RETRY_PAUSE)
 
     private suspend fun attemptAt(run: RequestRun, progress: StreamProgress, prepared: PreparedEngine): Next {
         run.trace.endpoints += prepared.engine.endpoint.id
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/FeedListeners.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/FeedListeners.kt
@@ -107,6 +107,7 @@
         val reporting = peers.liveReports(clock.now()).map { it.instance }.toSet()
         peers.registered.keys.filter { it !in listed && it !in reporting }.forEach(peers::unregister)
         listing.entries.forEach { entry -> register(entry.name, entry.value) }
+        peers.recordListing()
         quotas.updateMembers(peers.registered.keys)
     }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
 import org.nutmegspring.admission.QueueWaitLimit
+import org.nutmegspring.gateway.endpoints.ColdEndpoints
 import org.nutmegspring.gateway.endpoints.EndpointChange
 import org.nutmegspring.gateway.endpoints.EndpointListCurrency
 import org.nutmegspring.gateway.endpoints.EndpointTable
@@ -48,9 +49,11 @@
 import org.nutmegspring.identity.Incarnation
 import org.nutmegspring.identity.ServiceId
 import org.nutmegspring.lease.LeaseHolder
+import org.nutmegspring.limits.ColdPolicy
 import org.nutmegspring.membership.CallerTarget
 import org.nutmegspring.membership.InstancePhase
 import org.nutmegspring.placement.ServicePlacement
+import org.nutmegspring.time.MonotonicTime
 import org.nutmegspring.time.SuspensionAwareClock
 import org.nutmegspring.time.systemMonotonicClock
 import org.nutmegspring.usage.WindowCounts
@@ -96,7 +99,8 @@
     private val peers = PeerTable(self, incarnation)
     private val turns =
         InstanceTurns(self, { peers.registered.keys }) { System.currentTimeMillis().milliseconds }
-    private val endpoints = EndpointTable(::findCacheCapacity, turns) { endpoint, change ->
+    private val cold = ColdEndpoints(clock, ::findColdPolicy) { peers.isListed }
+    private val endpoints = EndpointTable(::findCacheCapacity, turns, cold) { endpoint, change ->
         if (change == EndpointChange.APPEARED || change == EndpointChange.GONE) connections.closeIdle(endpoint.address)
         log.record(DecisionEvent.EndpointChanged(endpoint, change))
     }
@@ -105,12 +109,12 @@
     }
     private val counts = WindowCounts(initial.bounds.usageWindow.inWholeMilliseconds)
     private val usage = UsageCounter(counts)
-    private val limits = EndpointLimits(endpoints, clock, log)
+    private val limits = EndpointLimits(endpoints, clock, cold, log)
     private val sender = EndpointSender(connections, platform.dialect, limits)
     private val retries = ServiceRetries(clock, { settings.bounds.toRetryBounds() }) { peers.registered.size + 1 }
     private val engineChoice =
         EngineChoice(endpoints, sender, platform.dialect, retries, initial.instance.dataCentre, clock)
-    private val crashGuard = CrashGuard(EngineProbes(connections), clock, log) { exchange.interval }
+    private val crashGuard = CrashGuard(EngineProbes(connections, limits::tryContact), clock, log) { exchange.interval }
     private val running = RunningRequests(
         ServiceForwarder(
             endpoints,
@@ -142,7 +146,7 @@
         clock,
         log,
     )
-    private val reports = PeerReports(self, peers, quotas, endpoints, crashGuard, limits, history, clock)
+    private val reports = PeerReports(self, peers, quotas, endpoints, crashGuard, limits, history, clock, cold)
 
     private val pacing = ReportPacing(initial.instance.linkMegabitsPerSecond ?: DEFAULT_LINK_MEGABITS_PER_SECOND)
     private val composer = ReportComposer(
@@ -175,6 +179,7 @@
         InstanceGauges(
             currentConfiguration,
             endpoints,
+            limits,
             peers,
             connections,
             exchange.traffic,
@@ -191,6 +196,18 @@
     private fun findCacheCapacity(service: ServiceId): Long =
         currentConfiguration.configuration?.services?.get(service)?.engines?.cacheCapacityTokens ?: DEFAULT_CACHE_TOKENS
 
+    private fun findColdPolicy(service: ServiceId): ColdPolicy? {
+        val start = currentConfiguration.configuration?.services?.get(service)?.coldStart ?: return null
+        val overage = settings.bounds.coldOverage ?: return null
+        return ColdPolicy(start.duration, start.requestsPerSecond, overage, settings.bounds.coldSlack ?: 0.0)
+    }
+
+    private fun updateColdEndpoints(now: MonotonicTime) {
+        val isAlone = peers.registered.isNotEmpty() && peers.liveReports(now).isEmpty()
+        cold.recordActivity(endpoints.evidence.age(now), isAlone)
+        limits.logCold()
+    }
+
     internal fun start() {
         log.record(DecisionEvent.PhaseChanged("starting", "instance $self, incarnation $incarnation"))
         // Opens the exchange, which what the servers answer depends on.
@@ -290,6 +307,7 @@
             val now = clock.now()
             loopDelay.record(TASK_INTERVAL, sleepStartedAt, now)
             endpoints.removeLapsed(now)
+            updateColdEndpoints(now)
             currentConfiguration.recordReported(peers.newestConfiguration(now), now)
             crashGuard.update()
             quotas.updateMembers(peers.registered.keys)
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
@@ -1,9 +1,11 @@
 package org.nutmegspring.gateway.instance
 
+import org.nutmegspring.gateway.endpoints.ColdEndpoints
 import org.nutmegspring.gateway.endpoints.EndpointTable
 import org.nutmegspring.gateway.forwarding.CrashGuard
 import org.nutmegspring.gateway.forwarding.EndpointLimits
 import org.nutmegspring.gateway.forwarding.QuotaTable
+import org.nutmegspring.gateway.peers.ColdEndpointReport
 import org.nutmegspring.gateway.peers.EndpointLimitReport
 import org.nutmegspring.gateway.peers.EndpointLoadReport
 import org.nutmegspring.gateway.peers.PeerReport
@@ -29,6 +31,7 @@
     private val limits: EndpointLimits,
     private val history: StoreHistory,
     private val clock: MonotonicClock,
+    private val cold: ColdEndpoints? = null,
 ) {
     private var nextUnreachable = 0
     private var reportedBusy: Set<EndpointId> = emptySet()
@@ -53,6 +56,8 @@
         report.unreachableEndpoints.forEach { endpoints.findState(it)?.recordUnreachableFromPeer(now, avoidanceEnd) }
         report.promptParts.forEach(crashGuard::applyEntry)
         report.limits.forEach(limits::applyReport)
+        if (report.hasTraffic) cold?.recordTraffic()
+        report.coldEndpoints.forEach(limits::applyColdReport)
         report.prefills.forEach { prefill ->
             val chain = prefill.chainHashes.zip(prefill.tokens, ::PromptPart)
             endpoints.findState(prefill.engine)?.recordPrefill(chain)
@@ -83,6 +88,12 @@
     /** Returns [count] limits that endpoints named to this instance, in turn when there are more. */
     fun nextLimits(count: Int): List<EndpointLimitReport> = limits.nextReports(count)
 
+    /** Returns [count] endpoints that are cold or were until lately, in turn when there are more. */
+    fun nextColdEndpoints(count: Int): List<ColdEndpointReport> = limits.nextColdReports(count)
+
+    /** Whether this instance knows that some instance has sent a request to an endpoint. */
+    val hasTraffic: Boolean get() = cold?.hasTraffic ?: false
+
     /** Returns [count] of the endpoints that do not answer this instance, in turn when there are more. */
     fun nextUnreachableEndpoints(count: Int): List<EndpointId> {
         val unreachable = unreachableEndpoints()
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/ReportComposer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/ReportComposer.kt
@@ -63,6 +63,8 @@
             loads = reports.nextLoads(entries.loads),
             prefills = engineChoice.drainPrefillReports(entries.prefills),
             limits = reports.nextLimits(entries.limits),
+            coldEndpoints = reports.nextColdEndpoints(entries.limits),
+            hasTraffic = reports.hasTraffic,
             promptParts = reports.nextPromptParts(entries.promptParts),
             storeEra = reports.storeEra.value,
             storeEraAgeMilliseconds = reports.storeEraAge().inWholeMilliseconds,
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
@@ -9,6 +9,8 @@
 import org.nutmegspring.identity.OrganisationId
 import org.nutmegspring.identity.PromptPartId
 import org.nutmegspring.identity.RequestId
+import org.nutmegspring.limits.ColdAllowance
+import org.nutmegspring.limits.ColdSource
 import org.nutmegspring.placement.EnginePlan
 import org.nutmegspring.platform.StoreEra
 import kotlin.time.Duration
@@ -179,6 +181,23 @@
         )
     }
 
+    /** An endpoint is treated as cold because of [source], or is not any more when it is null. */
+    class EndpointColdChanged(
+        private val endpoint: EndpointId,
+        private val source: ColdSource?,
+        private val allowance: ColdAllowance?,
+    ) : DecisionEvent {
+        override val name: String get() = "endpoint cold changed"
+
+        override fun fields(): Map<String, Any?> = mapOf(
+            "endpoint" to endpoint.value,
+            "cold" to (source != null),
+            "source" to source?.name?.lowercase(),
+            "remainingMilliseconds" to allowance?.remaining?.inWholeMilliseconds,
+            "requestsPerSecond" to allowance?.requestsPerSecond,
+        )
+    }
+
     /** The endpoint table changed. */
     class EndpointChanged(
         private val endpoint: ServingEndpoint,
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
@@ -80,6 +80,22 @@
     @CborLabel(3) val ageMilliseconds: Long,
 )
 
+/**
+ * What the sender knows of the cold time of an endpoint. Ages and times are in milliseconds.
+ *
+ * @property bornAt the process of the endpoint, null when its entry names none
+ * @property remaining how long the endpoint stays cold, 0 if it is not cold any more
+ * @property age how long ago the sender learnt it
+ */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+data class ColdEndpointReport(
+    @CborLabel(1) val endpoint: EndpointId,
+    @CborLabel(2) val bornAt: Long?,
+    @CborLabel(3) val remaining: Long,
+    @CborLabel(4) val age: Long,
+)
+
 /**
  * The report that an instance sends to the others several times in a few seconds. What a lost report told is told again
  * by a later one.
@@ -100,6 +116,8 @@
  * @property endedProcesses counts of processes that recently stopped reporting, for instances that started afterwards
  * @property chargeCoverageMilliseconds how far back the sender knows what the fleet charged, null for the quota window
  * @property chargeHistory what the fleet charged; only instances that have just started receive it
+ * @property coldEndpoints endpoints that are cold, and those that were until lately
+ * @property hasTraffic whether the sender knows that some instance has sent a request to an endpoint
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -126,6 +144,8 @@
     @CborLabel(20) val storeEraAgeMilliseconds: Long = 0,
     @CborLabel(21) val chargeCoverageMilliseconds: Long? = null,
     @CborLabel(22) val chargeHistory: ChargeHistoryReport? = null,
+    @CborLabel(23) val coldEndpoints: List<ColdEndpointReport> = emptyList(),
+    @CborLabel(24) val hasTraffic: Boolean = false,
 ) {
     /**
      * Returns how long the report is valid: at least [minimum], and [intervals] times the interval between reports. By
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerTable.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerTable.kt
@@ -41,6 +41,15 @@
     private var nextRelayed = 0
     private val countsByWindow = sortedMapOf<Long, MutableMap<Incarnation, Map<OrganisationId, Long>>>()
 
+    /** Whether the store has listed the instances to this one. */
+    var isListed: Boolean = false
+        private set
+
+    /** Records that the store has listed the instances. */
+    fun recordListing() {
+        isListed = true
+    }
+
     /** The records of the other instances. */
     val registered: Map<InstanceId, InstanceRecord> get() = records
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/wire/RequestFacts.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/wire/RequestFacts.kt
@@ -73,6 +73,7 @@
  * @property hasNotRun whether the endpoint states that it did not run the request
  * @property isOtherEndpoint whether another endpoint has the address now; the request did not run there
  * @property requestsPerSecond the limit that the endpoint names for all instances together, null without one
+ * @property remainingColdTime how long the endpoint stays cold, zero if it is not, null when it does not tell
  */
 data class AnswerFacts(
     val requestId: RequestId?,
@@ -80,6 +81,7 @@
     val hasNotRun: Boolean,
     val isOtherEndpoint: Boolean,
     val requestsPerSecond: Double? = null,
+    val remainingColdTime: Duration? = null,
 )
 
 /** A prompt that an engine has prefilled and holds for another engine. */
