--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EndpointLimits.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EndpointLimits.kt
@@ -118,6 +118,6 @@
         val WARM_RETENTION = 5.seconds
 
         /** Far above any cold time; a faulty report must not keep an endpoint cold for long. */
-        const val MAXIMUM_COLD_MILLISECONDS = 60_000L
+        const val MAXIMUM_COLD_MILLISECONDS = 600_000L
     }
 }
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/endpoints/ColdEndpointsSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/endpoints/ColdEndpointsSpec.kt
@@ -137,9 +137,12 @@
         @Test
         fun `the smaller of its own limit and that for cold endpoints is in force`() {
             list(endpoint.copy(remainingColdTime = 3.seconds))
-            state.limit.recordAnswer(1.0, clock.now(), clock.now())
+            state.limit.recordAnswer(30.0, clock.now(), clock.now())
             clock.advance(2.seconds)
-            assertTrue((1..20).count { table.tryAcquire(endpoint.id) } <= 2)
+            assertTrue((1..20).count { table.tryAcquire(endpoint.id) } in 5..9)
+            state.limit.recordAnswer(1.0, clock.now(), clock.now())
+            clock.advance(1.seconds / 2)
+            assertTrue((1..20).count { table.tryAcquire(endpoint.id) } <= 1)
         }
     }
 
