--- a/decisions/src/main/kotlin/org/nutmegspring/limits/ColdPolicy.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/limits/ColdPolicy.kt
@@ -40,26 +40,26 @@
             return minOf(requestsPerSecond, (greatestCount - BOUNDARY_TURNS) / turnSeconds).coerceAtLeast(0.0)
         }
 
-    companion object {
-        private val WINDOW = 1.seconds
+    private companion object {
+        val WINDOW = 1.seconds
 
         /**
          * 100 ms for wall clocks that differ by 50 ms either way, and 400 ms for requests that take different times to
          * arrive: a connection is given up after 400 ms.
          */
-        private val ARRIVAL_SPREAD = 500.milliseconds
+        val ARRIVAL_SPREAD = 500.milliseconds
 
         /** A turn stays open for its spacing beyond the open time, and another one may begin at the very end. */
-        private const val BOUNDARY_TURNS = 2
-
-        /**
-         * The factor by which the placement expects a cold endpoint to be slower. The platform states no figure and it
-         * has not been measured; it only makes the placement prefer a warm endpoint of similar load.
-         */
-        const val SLOWDOWN = 3.0
+        const val BOUNDARY_TURNS = 2
     }
 }
 
+/**
+ * The factor by which the placement expects a cold endpoint to be slower. The platform states no figure and it has not
+ * been measured; it only makes the placement prefer a warm endpoint of similar load.
+ */
+const val COLD_SLOWDOWN = 3.0
+
 /**
  * What a cold endpoint may get now.
  *
--- a/decisions/src/main/kotlin/org/nutmegspring/limits/SharedRateLimit.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/limits/SharedRateLimit.kt
@@ -8,9 +8,9 @@
  * Shares a rate that an endpoint names for all instances together, without messages between them.
  *
  * Turns begin one after the other at the rate of the limit, on the wall clock, and go round the instances in the order
- * of their ids. A turn admits one request and stays open until the next turn and [SHARED_TURN_OPEN_TIME] have passed. In any span,
- * the requests of all instances thus are at most the turns that were open during it, also when each instance's share is
- * far below one request.
+ * of their ids. A turn admits one request and stays open until the next turn and [SHARED_TURN_OPEN_TIME] have passed.
+ * In any span, the requests of all instances thus are at most the turns that were open during it, also when each
+ * instance's share is far below one request.
  */
 class SharedRateLimit {
     private var lastTurnUsed: Duration? = null
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
@@ -2,8 +2,8 @@
 
 import org.nutmegspring.endpoint.EngineRole
 import org.nutmegspring.identity.InstanceId
+import org.nutmegspring.limits.COLD_SLOWDOWN
 import org.nutmegspring.limits.ColdEstimate
-import org.nutmegspring.limits.ColdPolicy
 import org.nutmegspring.placement.EngineCandidate
 import org.nutmegspring.placement.EngineLoad
 import org.nutmegspring.placement.PrefixCacheEstimate
@@ -161,7 +161,7 @@
         slowdown = maxOf(1.0, currentSlowdown(now)) * coldSlowdown(),
     )
 
-    private fun coldSlowdown(): Double = if (cold?.findAllowance(this) == null) 1.0 else ColdPolicy.SLOWDOWN
+    private fun coldSlowdown(): Double = if (cold?.findAllowance(this) == null) 1.0 else COLD_SLOWDOWN
 
     private fun unexpiredPeerLoads(now: MonotonicTime): List<EngineLoad> =
         peerLoads.values.filter { now < it.validUntil }.map { it.load }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointTable.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointTable.kt
@@ -85,7 +85,7 @@
         return states[id]?.limit?.tryAcquire(turns) ?: true
     }
 
-    /** Counts a call to [id] other than a request of a caller. Returns false if the endpoint is cold and has no turn. */
+    /** Counts a call to [id] other than a caller's request. Returns false if the endpoint is cold and has no turn. */
     fun tryContact(id: EndpointId): Boolean {
         val state = states[id] ?: return true
         return cold?.isKnownCold(state) != true || state.limit.tryAcquire(turns)
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -179,7 +179,6 @@
         InstanceGauges(
             currentConfiguration,
             endpoints,
-            limits,
             peers,
             connections,
             exchange.traffic,
@@ -212,6 +211,7 @@
         log.record(DecisionEvent.PhaseChanged("starting", "instance $self, incarnation $incarnation"))
         // Opens the exchange, which what the servers answer depends on.
         gauges.register(metrics)
+        metrics.registerGauge("gateway_cold_endpoints") { limits.countCold().toDouble() }
         metrics.registerGauge("gateway_running_requests") { running.count.toDouble() }
         startServer(settings.addresses.metrics, DefaultServerLimits, createMetricsHandler(metrics::scrape))
         val keepSeconds = { minOf(ADDRESS_KEEP_SECONDS, settings.bounds.addressKeepSeconds ?: ADDRESS_KEEP_SECONDS) }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
@@ -3,7 +3,6 @@
 import org.nutmegspring.gateway.endpoints.EndpointTable
 import org.nutmegspring.gateway.forwarding.CrashGuard
 import org.nutmegspring.gateway.forwarding.CurrentConfiguration
-import org.nutmegspring.gateway.forwarding.EndpointLimits
 import org.nutmegspring.gateway.http.EndpointConnections
 import org.nutmegspring.gateway.observe.EventLoopDelay
 import org.nutmegspring.gateway.observe.GatewayMetrics
@@ -19,7 +18,6 @@
 internal class InstanceGauges(
     private val currentConfiguration: CurrentConfiguration,
     private val endpoints: EndpointTable,
-    private val limits: EndpointLimits,
     private val peers: PeerTable,
     private val connections: EndpointConnections,
     private val traffic: ExchangeTraffic,
@@ -64,7 +62,6 @@
         metrics.registerGauge("gateway_limited_endpoint_requests") {
             endpoints.allStates().sumOf { it.limit.sentRequests }.toDouble()
         }
-        metrics.registerGauge("gateway_cold_endpoints") { limits.countCold().toDouble() }
         metrics.registerGauge("gateway_store_era") { storeEra()?.value?.toDouble() ?: -1.0 }
         metrics.registerGauge("gateway_duty_held") { if (isHoldingDuties()) 1.0 else 0.0 }
     }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
@@ -91,8 +91,9 @@
     /** Returns [count] endpoints that are cold or were until lately, in turn when there are more. */
     fun nextColdEndpoints(count: Int): List<ColdEndpointReport> = limits.nextColdReports(count)
 
-    /** Whether this instance knows that some instance has sent a request to an endpoint. */
-    val hasTraffic: Boolean get() = cold?.hasTraffic ?: false
+    /** Whether some instance has sent a request to an endpoint; false where cold endpoints are not limited. */
+    val hasTraffic: Boolean
+        get() = cold != null && cold.hasTraffic && endpoints.allStates().any { cold.isLimited(it.endpoint.service) }
 
     /** Returns [count] of the endpoints that do not answer this instance, in turn when there are more. */
     fun nextUnreachableEndpoints(count: Int): List<EndpointId> {
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/endpoints/ColdEndpointsSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/endpoints/ColdEndpointsSpec.kt
@@ -9,6 +9,7 @@
 import org.nutmegspring.gateway.store.Listing
 import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.identity.InstanceId
+import org.nutmegspring.limits.COLD_SLOWDOWN
 import org.nutmegspring.limits.ColdPolicy
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -113,7 +114,7 @@
             assertFalse(isUnlimited())
             assertEquals(emptyList(), table.findUsable(endpoint.service, clock.now()))
             assertTrue(checkNotNull(table.timeUntilTurn(endpoint.service, clock.now())) < 1.seconds)
-            assertEquals(ColdPolicy.SLOWDOWN, state.toServiceCandidate(clock.now()).slowdown)
+            assertEquals(COLD_SLOWDOWN, state.toServiceCandidate(clock.now()).slowdown)
             assertFalse(table.tryContact(endpoint.id))
         }
 
