--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/RoleOrderer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/RoleOrderer.kt
@@ -97,6 +97,10 @@
     }
 
     private suspend fun sendOrder(engine: EndpointState, change: RoleChange) {
+        if (!endpoints.tryContact(engine.endpoint.id)) {
+            changesByEngine.remove(engine.endpoint.id)
+            return
+        }
         val isAccepted =
             endpoints.permits(engine.endpoint.dataCentre) &&
                 caller.call("role", "${change.engine} to ${roleName(change.role)}") { holder, timeout ->
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointState.kt
@@ -2,6 +2,8 @@
 
 import org.nutmegspring.endpoint.EngineRole
 import org.nutmegspring.identity.InstanceId
+import org.nutmegspring.limits.COLD_SLOWDOWN
+import org.nutmegspring.limits.ColdEstimate
 import org.nutmegspring.placement.EngineCandidate
 import org.nutmegspring.placement.EngineLoad
 import org.nutmegspring.placement.PrefixCacheEstimate
@@ -22,6 +24,8 @@
     /** The endpoint as it last described itself. */
     var endpoint: ServingEndpoint,
     cacheCapacityTokens: Long,
+    private val cold: ColdEndpoints? = null,
+    knownSince: Duration = Duration.ZERO,
 ) {
     private class PeerLoad(val load: EngineLoad, var validUntil: MonotonicTime)
 
@@ -46,8 +50,11 @@
     /** Whether the endpoint has told a load that cannot be read. */
     var hasUnreadableLoad = false
 
-    /** The limit that the endpoint names. */
-    val limit = EndpointLimit()
+    /** Until when the endpoint is treated as cold. */
+    val coldness = ColdEstimate()
+
+    /** The limit that the endpoint names, and that for cold endpoints. */
+    val limit = EndpointLimit(knownSince) { cold?.findAllowance(this) }
 
     private var isUnanswering = false
 
@@ -91,6 +98,7 @@
     fun recordUnanswered(now: MonotonicTime) {
         isUnanswering = true
         health.recordFailure(now)
+        if (health.isTripped) coldness.recordUnreachable(now)
     }
 
     /** Records that the endpoint completed a request. */
@@ -119,6 +127,7 @@
         if (changed.bornAt != endpoint.bornAt || changed.address != endpoint.address) {
             cacheEstimate.clear()
             limit.reset()
+            coldness.reset()
         }
         if (changed.bornAt != endpoint.bornAt || changed.role != endpoint.role) speed.reset()
         if (!changed.describesSameAs(endpoint)) {
@@ -165,7 +174,7 @@
         cachedTokens = cacheEstimate.countCachedTokens(chain),
         requests = countRequests(now),
         slots = endpoint.slots,
-        slowdown = speed.slowdown(now) ?: maxOf(1.0, currentSlowdown(now)),
+        slowdown = (speed.slowdown(now) ?: maxOf(1.0, currentSlowdown(now))) * coldSlowdown(),
     )
 
     /** Returns this endpoint as a candidate for a request to a plain service. */
@@ -174,9 +183,11 @@
         dataCentre = endpoint.dataCentre,
         requests = countRequests(now),
         slots = endpoint.slots,
-        slowdown = maxOf(1.0, currentSlowdown(now), speed.slowdown(now) ?: 1.0),
+        slowdown = maxOf(1.0, currentSlowdown(now), speed.slowdown(now) ?: 1.0) * coldSlowdown(),
     )
 
+    private fun coldSlowdown(): Double = if (cold?.findAllowance(this) == null) 1.0 else COLD_SLOWDOWN
+
     private fun unexpiredPeerLoads(now: MonotonicTime): List<EngineLoad> =
         peerLoads.values.filter { now < it.validUntil }.map { it.load }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointTable.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointTable.kt
@@ -41,6 +41,7 @@
     private val cacheCapacity: (ServiceId) -> Long,
     private val turns: InstanceTurns,
     val permits: (DataCentreId) -> Boolean = { true },
+    private val cold: ColdEndpoints? = null,
     private val onChange: (ServingEndpoint, EndpointChange) -> Unit,
 ) {
     private val states = LinkedHashMap<EndpointId, EndpointState>()
@@ -85,7 +86,16 @@
         findLive(service, now).minOfOrNull { it.limit.timeUntilTurn(turns) }?.takeIf { it > Duration.ZERO }
 
     /** Counts a request that is about to be sent to [id]. Returns false if the limit of the endpoint permits none. */
-    fun tryAcquire(id: EndpointId): Boolean = states[id]?.limit?.tryAcquire(turns) ?: true
+    fun tryAcquire(id: EndpointId): Boolean {
+        cold?.recordTraffic()
+        return states[id]?.limit?.tryAcquire(turns) ?: true
+    }
+
+    /** Counts a call to [id] other than a caller's request. Returns false if the endpoint is cold and has no turn. */
+    fun tryContact(id: EndpointId): Boolean {
+        val state = states[id] ?: return true
+        return cold?.isKnownCold(state) != true || state.limit.tryAcquire(turns)
+    }
 
     /** Whether endpoints of [service] could take work at [now], but all of them are in evacuated data centres. */
     fun isEvacuated(service: ServiceId, now: MonotonicTime): Boolean =
@@ -106,16 +116,17 @@
      * lapsed, so these endpoints stay in use until they have had time to register again.
      */
     fun replace(listing: Listing<ServingEndpoint>, regainedAt: MonotonicTime?, now: MonotonicTime) {
+        val isFirst = !isListed
         isListed = true
         val listed = listing.entries.map { EndpointId(it.name) }.toSet()
-        listing.entries.forEach { entry -> entry.value?.let(::addOrUpdate) }
+        listing.entries.forEach { entry -> entry.value?.let { addOrUpdate(it, isFirst) } }
         states.keys.filter { it !in listed }.forEach { handleRemoval(it, regainedAt, now) }
     }
 
     /** Applies one change. A removed entry may have lapsed if the store was unavailable until [regainedAt]. */
     fun applyChange(event: FeedEvent<ServingEndpoint>, regainedAt: MonotonicTime?, now: MonotonicTime) {
         when (event) {
-            is FeedEvent.Changed -> event.entry.value?.let(::addOrUpdate)
+            is FeedEvent.Changed -> event.entry.value?.let { addOrUpdate(it) }
             is FeedEvent.Removed -> handleRemoval(EndpointId(event.name), regainedAt, now)
         }
     }
@@ -125,17 +136,21 @@
         states.values.filter { state -> state.lapsesAt?.let { now >= it } ?: false }.forEach { remove(it.endpoint.id) }
     }
 
-    private fun addOrUpdate(endpoint: ServingEndpoint) {
+    private fun addOrUpdate(endpoint: ServingEndpoint, isFirstListing: Boolean = false) {
         val known = states[endpoint.id]
         if (isOutdated(endpoint, known)) return onChange(endpoint, EndpointChange.OUTDATED)
-        departed.remove(endpoint.id)
+        val former = departed.remove(endpoint.id)
         if (known == null) {
-            states[endpoint.id] = EndpointState(endpoint, cacheCapacity(endpoint.service))
+            val state = EndpointState(endpoint, cacheCapacity(endpoint.service), cold, turns.now())
+            states[endpoint.id] = state
+            cold?.recordAppearance(state, isFirstListing, former)
             onChange(endpoint, EndpointChange.APPEARED)
             return
         }
         val before = known.endpoint
+        val hasLapsed = known.lapsesAt != null
         known.updateDescription(endpoint)
+        cold?.recordUpdate(known, before, hasLapsed)
         when {
             before.describesSameAs(endpoint) -> Unit
             endpoint.state == ListedState.DEPARTING -> onChange(endpoint, EndpointChange.DEPARTING)
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineProbes.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineProbes.kt
@@ -6,6 +6,7 @@
 import org.nutmegspring.gateway.http.ConnectionProbe
 import org.nutmegspring.gateway.http.EndpointConnections
 import org.nutmegspring.identity.DataCentreId
+import org.nutmegspring.identity.EndpointId
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -14,10 +15,12 @@
  * All requests in flight at an engine break off with it, so probes at the same time share one connection.
  *
  * @param permits whether engines in a data centre may be probed
+ * @param mayContact counts a probe of an endpoint, and returns false if it must not be sent
  */
 class EngineProbes(
     private val connections: EndpointConnections,
     private val permits: (DataCentreId) -> Boolean = { true },
+    private val mayContact: (EndpointId) -> Boolean = { true },
 ) {
     private val running = HashMap<String, CompletableDeferred<ConnectionProbe>>()
 
@@ -29,6 +32,7 @@
         if (!permits(engine.dataCentre)) return ConnectionProbe.UNANSWERED
         val address = engine.address
         running[address]?.let { return it.await() }
+        if (!mayContact(engine.id)) return ConnectionProbe.UNANSWERED
         val result = CompletableDeferred<ConnectionProbe>()
         running[address] = result
         var probed = ConnectionProbe.UNANSWERED
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -119,7 +119,7 @@
         run.admitted.configuration.shortestStreamObjective(run.admitted.service)
 
     private fun createImpossibleEnd(run: RequestRun, reason: String, last: RunEnd): RunEnd =
-        if (run.mayHaveRun) last else RunEnd.NotRun(reason, RETRY_PAUSE)
+        if (run.mayHaveRun) last else choice.createUnplacedEnd(run, reason, RETRY_PAUSE)
 
     private suspend fun attemptAt(run: RequestRun, progress: StreamProgress, prepared: PreparedEngine): Next {
         run.trace.endpoints += prepared.engine.endpoint.id
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.withContext
 import org.nutmegspring.admission.QueueWaitLimit
 import org.nutmegspring.evacuation.EvacuationState
+import org.nutmegspring.gateway.endpoints.ColdEndpoints
 import org.nutmegspring.gateway.endpoints.EndpointChange
 import org.nutmegspring.gateway.endpoints.EndpointErrors
 import org.nutmegspring.gateway.endpoints.EndpointListCurrency
@@ -51,10 +52,12 @@
 import org.nutmegspring.identity.Incarnation
 import org.nutmegspring.identity.ServiceId
 import org.nutmegspring.lease.LeaseHolder
+import org.nutmegspring.limits.ColdPolicy
 import org.nutmegspring.membership.CallerTarget
 import org.nutmegspring.membership.InstancePhase
 import org.nutmegspring.placement.PlacementRule
 import org.nutmegspring.placement.ServicePlacement
+import org.nutmegspring.time.MonotonicTime
 import org.nutmegspring.time.SuspensionAwareClock
 import org.nutmegspring.time.systemMonotonicClock
 import org.nutmegspring.usage.WindowCounts
@@ -104,7 +107,8 @@
 
     /** Null where the settings had no bound for evacuations at the start. */
     private val evacuations = initial.bounds.evacuationMilliseconds?.let { EvacuationState(it.milliseconds) }
-    private val endpoints = EndpointTable(::findCacheCapacity, turns, ::permits) { endpoint, change ->
+    private val cold = ColdEndpoints(clock, ::findColdPolicy) { peers.isListed }
+    private val endpoints = EndpointTable(::findCacheCapacity, turns, ::permits, cold) { endpoint, change ->
         if (change == EndpointChange.APPEARED || change == EndpointChange.GONE) {
             connections.closeIdle(endpoint.address)
             errors.forget(endpoint)
@@ -116,7 +120,7 @@
     }
     private val counts = WindowCounts(initial.bounds.usageWindow.inWholeMilliseconds)
     private val usage = UsageCounter(counts)
-    private val limits = EndpointLimits(endpoints, clock, log)
+    private val limits = EndpointLimits(endpoints, clock, cold, log)
     private val sender = EndpointSender(connections, platform.dialect, limits)
     private val retries = ServiceRetries(clock, { settings.bounds.toRetryBounds() }) { peers.registered.size + 1 }
     private val pacing = ReportPacing(initial.instance.linkMegabitsPerSecond ?: DEFAULT_LINK_MEGABITS_PER_SECOND)
@@ -124,7 +128,8 @@
         EngineChoice(endpoints, sender, platform.dialect, retries, initial.instance.dataCentre, clock) {
             PlacementRule.select(pacing.computeInterval(bytes = 0, peers = peers.registered.size))
         }
-    private val crashGuard = CrashGuard(EngineProbes(connections, ::permits), clock, log) { exchange.interval }
+    private val crashGuard =
+        CrashGuard(EngineProbes(connections, ::permits, limits::tryContact), clock, log) { exchange.interval }
     private val running = RunningRequests(
         ServiceForwarder(
             endpoints,
@@ -157,7 +162,7 @@
         clock,
         log,
     )
-    private val reports = PeerReports(self, peers, quotas, endpoints, crashGuard, limits, history, clock)
+    private val reports = PeerReports(self, peers, quotas, endpoints, crashGuard, limits, history, clock, cold)
 
     private val composer = ReportComposer(
         LeaseHolder(self, incarnation),
@@ -207,11 +212,24 @@
 
     private fun permits(dataCentre: DataCentreId): Boolean = evacuations?.permits(dataCentre) ?: true
 
+    private fun findColdPolicy(service: ServiceId): ColdPolicy? {
+        val start = currentConfiguration.configuration?.services?.get(service)?.coldStart ?: return null
+        val overage = settings.bounds.coldOverage ?: return null
+        return ColdPolicy(start.duration, start.requestsPerSecond, overage, settings.bounds.coldSlack ?: 0.0)
+    }
+
+    private fun updateColdEndpoints(now: MonotonicTime) {
+        val isAlone = peers.registered.isNotEmpty() && peers.liveReports(now).isEmpty()
+        cold.recordActivity(endpoints.evidence.age(now), isAlone)
+        limits.logCold()
+    }
+
     internal fun start() {
         log.record(DecisionEvent.PhaseChanged("starting", "instance $self, incarnation $incarnation"))
         // Opens the exchange, which what the servers answer depends on.
         gauges.register(metrics)
         evacuations?.registerGauges(metrics, clock)
+        metrics.registerGauge("gateway_cold_endpoints") { limits.countCold().toDouble() }
         metrics.registerGauge("gateway_running_requests") { running.count.toDouble() }
         metrics.registerGauge("gateway_failing_endpoints_avoided") { errors.avoidedCount.toDouble() }
         startServer(settings.addresses.metrics, DefaultServerLimits, createMetricsHandler(metrics::scrape))
@@ -313,6 +331,7 @@
             val now = clock.now()
             loopDelay.record(TASK_INTERVAL, sleepStartedAt, now)
             endpoints.removeLapsed(now)
+            updateColdEndpoints(now)
             currentConfiguration.recordReported(peers.newestConfiguration(now), now)
             crashGuard.update()
             quotas.updateMembers(peers.registered.keys)
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
@@ -1,9 +1,11 @@
 package org.nutmegspring.gateway.instance
 
+import org.nutmegspring.gateway.endpoints.ColdEndpoints
 import org.nutmegspring.gateway.endpoints.EndpointTable
 import org.nutmegspring.gateway.forwarding.CrashGuard
 import org.nutmegspring.gateway.forwarding.EndpointLimits
 import org.nutmegspring.gateway.forwarding.QuotaTable
+import org.nutmegspring.gateway.peers.ColdEndpointReport
 import org.nutmegspring.gateway.peers.EndpointLimitReport
 import org.nutmegspring.gateway.peers.EndpointLoadReport
 import org.nutmegspring.gateway.peers.EndpointSpeedReport
@@ -31,6 +33,7 @@
     private val limits: EndpointLimits,
     private val history: StoreHistory,
     private val clock: MonotonicClock,
+    private val cold: ColdEndpoints? = null,
 ) {
     private var nextUnreachable = 0
     private var nextSpeed = 0
@@ -59,6 +62,8 @@
         report.speeds.forEach {
             endpoints.findState(it.endpoint)?.speed?.adoptPeerFactor(it.workTimePercent / PERCENT)
         }
+        if (report.hasTraffic) cold?.recordTraffic()
+        report.coldEndpoints.forEach(limits::applyColdReport)
         report.prefills.forEach { prefill ->
             val chain = prefill.chainHashes.zip(prefill.tokens, ::PromptPart)
             endpoints.findState(prefill.engine)?.recordPrefill(chain)
@@ -99,6 +104,13 @@
         return reported
     }
 
+    /** Returns [count] endpoints that are cold or were until lately, in turn when there are more. */
+    fun nextColdEndpoints(count: Int): List<ColdEndpointReport> = limits.nextColdReports(count)
+
+    /** Whether some instance has sent a request to an endpoint; false where cold endpoints are not limited. */
+    val hasTraffic: Boolean
+        get() = cold != null && cold.hasTraffic && endpoints.allStates().any { cold.isLimited(it.endpoint.service) }
+
     /** Returns [count] of the endpoints that do not answer this instance, in turn when there are more. */
     fun nextUnreachableEndpoints(count: Int): List<EndpointId> {
         val unreachable = unreachableEndpoints()
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/ReportComposer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/ReportComposer.kt
@@ -64,6 +64,8 @@
             prefills = engineChoice.drainPrefillReports(entries.prefills),
             limits = reports.nextLimits(entries.limits),
             speeds = reports.nextSpeeds(entries.limits),
+            coldEndpoints = reports.nextColdEndpoints(entries.limits),
+            hasTraffic = reports.hasTraffic,
             promptParts = reports.nextPromptParts(entries.promptParts),
             storeEra = reports.storeEra.value,
             storeEraAgeMilliseconds = reports.storeEraAge().inWholeMilliseconds,
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/wire/RequestFacts.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/wire/RequestFacts.kt
@@ -74,6 +74,7 @@
  * @property isOtherEndpoint whether another endpoint has the address now; the request did not run there
  * @property requestsPerSecond the limit that the endpoint names for all instances together, null without one
  * @property load what the endpoint tells of its load
+ * @property remainingColdTime how long the endpoint stays cold, zero if it is not, null when it does not tell
  */
 data class AnswerFacts(
     val requestId: RequestId?,
@@ -82,6 +83,7 @@
     val isOtherEndpoint: Boolean,
     val requestsPerSecond: Double? = null,
     val load: LoadStatement = LoadStatement.None,
+    val remainingColdTime: Duration? = null,
 )
 
 /** What an endpoint tells of its load in an answer. */
