Give up former turns of a cold endpoint only once

When the wall clock was set back, each request gave up the turns before the start again, which forgot the turn that had just been used: all of 100 requests were permitted. They are given up at the first request to the cold endpoint now.

A refusal after an attempt that no engine ran tells the time until a turn where all engines are limited, as a refusal before any attempt does. The spec also covers what another instance is told.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointLimit.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointLimit.kt
@@ -38,6 +38,7 @@
     private val findAllowance: () -> ColdAllowance? = { null },
 ) {
     private val turns = SharedRateLimit()
+    private var hasDiscardedTurns = false
     private var isOwnEvidence = false
 
     /** When an answer last told whether there is a limit, to this instance or another one; null before the first. */
@@ -69,7 +70,9 @@
 
     private fun findColdAllowance(instances: InstanceTurns): ColdAllowance? {
         val cold = findAllowance() ?: return null
-        turns.discardTurnsBefore(knownSince)
+        // Once only: if the wall clock is set back, a later call would give out the turns again that were used since.
+        if (!hasDiscardedTurns) turns.discardTurnsBefore(knownSince)
+        hasDiscardedTurns = true
         turns.discardTurnsOfOtherOrder(instances.share(cold.requestsPerSecond), instances.now())
         return cold
     }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -343,7 +343,7 @@
     private fun createRunEnd(run: RequestRun, progress: StreamProgress, failure: Failure): RunEnd = when {
         progress.isStarted -> RunEnd.BrokenOff(failure.message)
         run.mayHaveRun -> RunEnd.Failed(failure.message, isTimeout = run.timeLeft() == Duration.ZERO)
-        else -> RunEnd.NotRun(failure.message, RETRY_PAUSE)
+        else -> RunEnd.NotRun(failure.message, choice.timeUntilTurn(run) ?: RETRY_PAUSE)
     }
 
     private companion object {
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/endpoints/ColdEndpointsSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/endpoints/ColdEndpointsSpec.kt
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.Nested
 import org.nutmegspring.gateway.TestClock
 import org.nutmegspring.gateway.endpointOf
+import org.nutmegspring.gateway.forwarding.EndpointLimits
 import org.nutmegspring.gateway.store.FeedEntry
 import org.nutmegspring.gateway.store.FeedEvent
 import org.nutmegspring.gateway.store.FeedPosition
@@ -25,7 +26,8 @@
     private var policy: ColdPolicy? = ColdPolicy(3.seconds, requestsPerSecond = 9.1, overage = 1.5, slack = 5.0)
     private var isFleetKnown = true
     private val cold = ColdEndpoints(clock, { policy }) { isFleetKnown }
-    private val turns = InstanceTurns(InstanceId("a"), { emptyList() }) { 20_000.minutes + (clock.now() - START) }
+    private val turns = InstanceTurns(InstanceId("a"), { emptyList() }) { wallClock + (clock.now() - START) }
+    private var wallClock = 20_000.minutes
     private val table = EndpointTable({ 1_000 }, turns, cold) { _, _ -> }
     private val endpoint = endpointOf("e", sequence = 1).copy(bornAt = 1)
     private val state: EndpointState get() = checkNotNull(table.findState(EndpointId("e")))
@@ -147,6 +149,54 @@
         }
     }
 
+    @Nested
+    inner class `when the wall clock is set back` {
+        @Test
+        fun `turns are not given out a second time with each request`() {
+            list(endpoint.copy(remainingColdTime = 60.seconds))
+            clock.advance(2.seconds)
+            wallClock -= 10.seconds
+            assertTrue((1..100).count { table.tryAcquire(endpoint.id) } <= 9)
+        }
+    }
+
+    @Nested
+    inner class `when another instance is told` {
+        private val limits = EndpointLimits(table, clock, cold) { }
+        private val other = ColdEndpoints(clock, { policy }) { true }
+        private val otherTable = EndpointTable({ 1_000 }, turns, other) { _, _ -> }
+        private val otherLimits = EndpointLimits(otherTable, clock, other) { }
+
+        private fun isColdThere() = other.findAllowance(checkNotNull(otherTable.findState(endpoint.id))) != null
+
+        private fun report() = limits.nextColdReports(10).forEach(otherLimits::applyColdReport)
+
+        private fun listThere(listed: ServingEndpoint) =
+            otherTable.replace(Listing(listOf(FeedEntry("e", listed)), FeedPosition(1)), null, clock.now())
+
+        @Test
+        fun `it limits the endpoint as long as the answer to the first one says`() {
+            list(endpoint)
+            listThere(endpoint)
+            cold.recordAnswer(state, 2.seconds, clock.now())
+            report()
+            assertTrue(isColdThere())
+            clock.advance(1.seconds)
+            cold.recordAnswer(state, Duration.ZERO, clock.now())
+            report()
+            assertFalse(isColdThere())
+        }
+
+        @Test
+        fun `a report of another process is passed over`() {
+            list(endpoint)
+            listThere(endpoint.copy(bornAt = 2))
+            cold.recordAnswer(state, 2.seconds, clock.now())
+            report()
+            assertFalse(isColdThere())
+        }
+    }
+
     @Nested
     inner class `when this instance was suspended` {
         @Test
