--- a/decisions/src/main/kotlin/org/nutmegspring/roles/RoleBalancer.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/roles/RoleBalancer.kt
@@ -70,9 +70,21 @@
         }
     }
 
+    /**
+     * Returns the smallest and the greatest share of engines with [slots] that may decode without a planned change, in a
+     * fleet that is many times as large as the minimum number of decode engines.
+     */
+    fun findDecodeShares(slots: Int): ClosedFloatingPointRange<Double> {
+        val slotShare = computeSlotShare(maxOf(1, slots).toDouble())
+        return slotShare * MINIMUM_SLOT_SHARE..maxOf(decodeShare, slotShare) * (1 + EXCESS_TOLERANCE)
+    }
+
+    private fun computeSlotShare(engines: List<BalancedEngine>): Double =
+        computeSlotShare(engines.map { maxOf(1, it.slots) }.average())
+
     /** Returns the share of engines that have to decode so that prompts and outputs find as much capacity each. */
-    private fun computeSlotShare(engines: List<BalancedEngine>): Double {
-        val outputSeconds = SECONDS_PER_OUTPUT / engines.map { maxOf(1, it.slots) }.average()
+    private fun computeSlotShare(slots: Double): Double {
+        val outputSeconds = SECONDS_PER_OUTPUT / slots
         return outputSeconds / (outputSeconds + SECONDS_PER_PROMPT)
     }
 
--- a/decisions/src/main/kotlin/org/nutmegspring/spending/FleetOrderPlanner.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/spending/FleetOrderPlanner.kt
@@ -33,24 +33,30 @@
     private val sentOrders = HashMap<Pair<DataCentreId, Boolean>, SentOrder>()
     private val excessSince = HashMap<DataCentreId, MonotonicTime>()
 
-    /** Returns the orders to send at [now]. [isIdle] tells that the endpoints have had no work for a while. */
+    /**
+     * Returns the orders to send at [now]. [isIdle] tells that the endpoints have had no work for a while. No steady
+     * endpoints substitute in [replacedElsewhere], since other data centres run more endpoints instead.
+     */
     fun planOrders(
         targets: Map<DataCentreId, EndpointCounts>,
         running: Map<DataCentreId, EndpointCounts>,
         isIdle: Boolean,
         now: MonotonicTime,
+        replacedElsewhere: Set<DataCentreId> = emptySet(),
     ): List<CountOrder> = targets.flatMap { (dataCentre, target) ->
-        planOrdersFor(dataCentre, target, running[dataCentre] ?: EndpointCounts(0, 0), isIdle, now)
+        val here = running[dataCentre] ?: EndpointCounts(0, 0)
+        val substitutes = if (dataCentre in replacedElsewhere) 0 else countSubstitutes(dataCentre, target, here)
+        planOrdersFor(dataCentre, target, target.steady + substitutes, here, isIdle, now)
     }
 
     private fun planOrdersFor(
         dataCentre: DataCentreId,
         target: EndpointCounts,
+        steady: Int,
         running: EndpointCounts,
         isIdle: Boolean,
         now: MonotonicTime,
     ): List<CountOrder> {
-        val steady = target.steady + countSubstitutes(dataCentre, target, running)
         if (running.steady > steady) excessSince.getOrPut(dataCentre) { now } else excessSince.remove(dataCentre)
         val free = maxEndpoints - (if (isIdle) target.steady else maxOf(target.steady, running.steady))
         val interruptible = minOf(target.interruptible, maxOf(free, running.interruptible))
