Let the holder of the duties order endpoints by the fleet's demand

The holder and its two stand-ins measure the demand from them, so that a successor has a history. EndpointOrderer orders the targets of DemandSizing; zone_prices of the configuration enables it. Services without prices, without engines or without a range keep the whole range.

--- a/decisions/src/main/kotlin/org/nutmegspring/spending/DemandSizing.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/spending/DemandSizing.kt
@@ -70,6 +70,7 @@
         now: MonotonicTime,
     ): SizingDecision? {
         val whole = wholeRange.computeTargets(policy, running.keys) ?: return null
+        if (whole.isEmpty()) return null
         if (!policy.isSizedByDemand || slots == null || demand == null) {
             hold(whole, now)
             return SizingDecision(whole, SizingReason.WHOLE_RANGE)
@@ -109,7 +110,8 @@
                 reached -= dataCentre
             }
         }
-        held = targets
+        // A data centre without any listed endpoint keeps its target until it is listed again.
+        held = held.orEmpty() + targets
     }
 
     /** Returns the numbers of interruptible endpoints that run, as a new holder of the duties finds them. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/EndpointOrderer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/EndpointOrderer.kt
@@ -4,15 +4,20 @@
 import org.nutmegspring.gateway.configuration.ServiceDefinition
 import org.nutmegspring.gateway.endpoints.EndpointState
 import org.nutmegspring.gateway.endpoints.EndpointTable
+import org.nutmegspring.gateway.observe.DecisionEvent
+import org.nutmegspring.gateway.observe.DecisionLog
 import org.nutmegspring.gateway.store.EndpointOrder
 import org.nutmegspring.identity.DataCentreId
 import org.nutmegspring.identity.ServiceId
 import org.nutmegspring.platform.ListedState
 import org.nutmegspring.spending.CountOrder
+import org.nutmegspring.spending.DemandSizing
 import org.nutmegspring.spending.EndpointCounts
+import org.nutmegspring.spending.FleetDemand
 import org.nutmegspring.spending.FleetOrderPlanner
 import org.nutmegspring.spending.FleetSizing
 import org.nutmegspring.spending.ScalingPolicy
+import org.nutmegspring.spending.SizingDecision
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -21,13 +26,19 @@
  * Scales the services whose configuration allows it by ordering endpoints, while this instance holds the duties.
  *
  * @param services returns the services of the latest configuration
+ * @param sizing the targets of services that do not follow the demand, or whose demand is not known
+ * @param findDemand returns the demand of the fleet on a service, null when none was measured
  */
 class EndpointOrderer(
     private val caller: DutyCaller,
     private val services: () -> Collection<ServiceDefinition>,
     private val endpoints: EndpointTable,
     private val sizing: FleetSizing,
+    private val findDemand: (ServiceId) -> FleetDemand?,
+    private val log: DecisionLog,
 ) {
+    private val sizings = HashMap<ServiceId, DemandSizing>()
+    private val decisions = HashMap<ServiceId, SizingDecision>()
     private val planners = HashMap<ServiceId, FleetOrderPlanner>()
     private val watchedSince = HashMap<ServiceId, MonotonicTime>()
     private val lastBusyAt = HashMap<ServiceId, MonotonicTime>()
@@ -36,36 +47,56 @@
     suspend fun run(): Nothing {
         while (true) {
             delay(CHECK_INTERVAL)
+            if (!caller.isHolding) forgetTargets()
             if (caller.isHolding && endpoints.isListed) services().forEach { sendDueOrders(it) }
         }
     }
 
+    /** The sum of the target numbers of all services, 0 while this instance does not hold the duties. */
+    val targetEndpoints: Int
+        get() = decisions.values.sumOf { decision -> decision.targets.values.sumOf { it.steady + it.interruptible } }
+
+    /** Returns the demands that the targets follow. */
+    fun demands(): List<FleetDemand> = decisions.values.mapNotNull { it.demand }
+
+    /** Another holder may change the numbers meanwhile; the targets then start from what runs. */
+    private fun forgetTargets() {
+        sizings.clear()
+        decisions.clear()
+    }
+
     /** Whether the first orders for [service] are still to be sent or carried out; false if it is not scaled. */
     fun isGrowing(service: ServiceId): Boolean {
-        val fleet = services().find { it.id == service }?.let(::findFleet) ?: return false
-        return planners[service]?.isGrowing(fleet.targets, fleet.running, caller.clock.now()) ?: true
+        val policy = services().find { it.id == service }?.scaling ?: return false
+        val running = countRunning(service)
+        val wholeRange = sizing.computeTargets(policy, running.keys) ?: return false
+        val targets = decisions[service]?.targets ?: wholeRange
+        return planners[service]?.isGrowing(targets, running, caller.clock.now()) ?: true
     }
 
-    private class Fleet(
-        val policy: ScalingPolicy,
-        val running: Map<DataCentreId, EndpointCounts>,
-        val targets: Map<DataCentreId, EndpointCounts>,
-    )
-
-    /** Returns the running and target endpoint counts of [service], or null when it is not scaled. */
-    private fun findFleet(service: ServiceDefinition): Fleet? {
-        val policy = service.scaling ?: return null
-        val running = countRunning(service.id)
-        return sizing.computeTargets(policy, running.keys)?.let { Fleet(policy, running, it) }
+    /** Sets the targets of [service] from its demand, or returns null when it is not scaled. */
+    private fun decideTargets(
+        service: ServiceDefinition,
+        policy: ScalingPolicy,
+        running: Map<DataCentreId, EndpointCounts>,
+    ): SizingDecision? {
+        val now = caller.clock.now()
+        val decision = sizings.getOrPut(service.id) { DemandSizing(sizing) }
+            .update(policy, service.engines?.slots, running, findDemand(service.id), now) ?: return null
+        val previous = decisions.put(service.id, decision)
+        if (decision.targets != previous?.targets) log.record(DecisionEvent.TargetsChanged(service.id, decision))
+        return decision
     }
 
     private suspend fun sendDueOrders(service: ServiceDefinition) {
-        val fleet = findFleet(service) ?: return
+        val policy = service.scaling ?: return
+        val running = countRunning(service.id)
+        if (sizing.computeTargets(policy, running.keys) == null) return
         val isIdle = isIdle(service.id) ?: return
-        val planner = planners.getOrPut(service.id) {
-            FleetOrderPlanner(fleet.policy.maxEndpoints, fleet.policy.startUpTime)
-        }
-        planner.planOrders(fleet.targets, fleet.running, isIdle, caller.clock.now()).forEach { order ->
+        val decision = decideTargets(service, policy, running) ?: return
+        val planner = planners.getOrPut(service.id) { FleetOrderPlanner(policy.maxEndpoints, policy.startUpTime) }
+        val now = caller.clock.now()
+        planner.planOrders(decision.targets, running, isIdle, now, decision.replacedElsewhere).forEach { order ->
             planner.recordSent(order, sendOrder(service.id, order), caller.clock.now())
         }
     }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -30,6 +30,7 @@
     private val usage: UsageCounter,
     private val limit: QueueWaitLimit,
     private val crashGuard: CrashGuard,
+    private val demand: DemandCounter,
 ) {
     /** Serves [run]. */
     suspend fun serve(run: RequestRun): RunEnd {
@@ -59,9 +60,13 @@
 
     private suspend fun nextAttempt(run: RequestRun, progress: StreamProgress, last: RunEnd): Next {
         findQuarantineEnd(run, last)?.let { return Next.Ended(it) }
-        val plan = choice.choose(run, limit.computeMaximumWait(shortestObjective(run))) ?: return Next.Ended(last)
-        if (run.trace.plan == null) run.trace.plan = plan
-        val refusal = refusal(run, progress, plan)
+        val plan = choice.choose(run, limit.computeMaximumWait(shortestObjective(run)))
+        val refusal = plan?.let { refusal(run, progress, it) }
+        if (run.trace.plan == null) {
+            demand.record(run.admitted, plan, isRefused = plan == null || refusal != null)
+            run.trace.plan = plan
+        }
+        if (plan == null) return Next.Ended(last)
         val isFurther = run.trace.endpoints.isNotEmpty()
         return when {
             refusal != null -> {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
 import org.nutmegspring.admission.QueueWaitLimit
+import org.nutmegspring.gateway.duties.FleetDemands
 import org.nutmegspring.gateway.endpoints.EndpointChange
 import org.nutmegspring.gateway.endpoints.EndpointListCurrency
 import org.nutmegspring.gateway.endpoints.EndpointTable
@@ -14,6 +15,7 @@
 import org.nutmegspring.gateway.forwarding.Admission
 import org.nutmegspring.gateway.forwarding.CrashGuard
 import org.nutmegspring.gateway.forwarding.CurrentConfiguration
+import org.nutmegspring.gateway.forwarding.DemandCounter
 import org.nutmegspring.gateway.forwarding.EndpointLimits
 import org.nutmegspring.gateway.forwarding.EndpointSender
 import org.nutmegspring.gateway.forwarding.EngineChoice
@@ -111,6 +113,8 @@
     private val engineChoice =
         EngineChoice(endpoints, sender, platform.dialect, retries, initial.instance.dataCentre, clock)
     private val crashGuard = CrashGuard(EngineProbes(connections), clock, log) { exchange.interval }
+    private val demandCounter = DemandCounter()
+    private val demands = FleetDemands(incarnation, demandCounter, ::listServices, { peers.registered.size + 1 }, clock)
     private val running = RunningRequests(
         ServiceForwarder(
             endpoints,
@@ -121,7 +125,7 @@
             initial.instance.dataCentre,
             clock,
         ),
-        StreamForwarder(engineChoice, sender, retries, usage, QueueWaitLimit(), crashGuard),
+        StreamForwarder(engineChoice, sender, retries, usage, QueueWaitLimit(), crashGuard, demandCounter),
     )
     private var phase = InstancePhase.JOINING
     private val servers = mutableListOf<HttpServer>()
@@ -133,16 +137,17 @@
         DutyInputs(
             phase = { phase },
             readyPeers = { peers.readyInstances(clock.now()) },
-            services = { currentConfiguration.configuration?.services?.values.orEmpty() },
+            services = ::listServices,
             propagationTime = { exchange.interval * PROPAGATION_INTERVALS },
             storeEraAge = history::age,
             countRequests = { usage.sumWith(it, peers.windowCounts(it)) },
             endpoints = endpoints,
+            demands = demands,
         ),
         clock,
         log,
     )
-    private val reports = PeerReports(self, peers, quotas, endpoints, crashGuard, limits, history, clock)
+    private val reports = PeerReports(self, peers, quotas, endpoints, crashGuard, limits, history, demands, clock)
 
     private val pacing = ReportPacing(initial.instance.linkMegabitsPerSecond ?: DEFAULT_LINK_MEGABITS_PER_SECOND)
     private val composer = ReportComposer(
@@ -183,9 +188,12 @@
             feeds.inquiry,
             clock,
             { history.era.value },
-        ) { duties.isHolding }
+            duties,
+        )
     }
 
+    private fun listServices() = currentConfiguration.configuration?.services?.values.orEmpty()
+
     private fun composeReports(): List<AddressedReport> = composer.compose(phase, exchange.interval)
 
     private fun findCacheCapacity(service: ServiceId): Long =
@@ -293,6 +301,7 @@
             currentConfiguration.recordReported(peers.newestConfiguration(now), now)
             crashGuard.update()
             quotas.updateMembers(peers.registered.keys)
+            demands.sample()
             val isServing = currentConfiguration.configuration != null && listCurrency.isRecent(now)
             if (phase == InstancePhase.JOINING && isServing) {
                 phase = InstancePhase.READY
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceDuties.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceDuties.kt
@@ -4,6 +4,7 @@
 import org.nutmegspring.gateway.configuration.ServiceDefinition
 import org.nutmegspring.gateway.duties.DutyCaller
 import org.nutmegspring.gateway.duties.EndpointOrderer
+import org.nutmegspring.gateway.duties.FleetDemands
 import org.nutmegspring.gateway.duties.RoleOrderer
 import org.nutmegspring.gateway.duties.UsageReporter
 import org.nutmegspring.gateway.endpoints.EndpointTable
@@ -24,6 +25,7 @@
 import org.nutmegspring.membership.InstancePhase
 import org.nutmegspring.node.control.LeaseManager
 import org.nutmegspring.roles.RoleBalancer
+import org.nutmegspring.spending.FleetDemand
 import org.nutmegspring.spending.FleetSizing
 import org.nutmegspring.time.MonotonicClock
 import kotlin.time.Duration
@@ -36,6 +38,7 @@
  * @property readyPeers the other instances that can take over the duties
  * @property propagationTime time within which the reports of this instance reach the others
  * @property storeEraAge for how long at least the era of the store has lasted, null before its first answer
+ * @property demands the demand of the fleet on services whose endpoints follow it
  * @property countRequests returns the number of requests of each organisation in a usage window, over all instances
  */
 internal class DutyInputs(
@@ -46,6 +49,7 @@
     val storeEraAge: () -> Duration?,
     val countRequests: (Long) -> Map<OrganisationId, Long>,
     val endpoints: EndpointTable,
+    val demands: FleetDemands,
 )
 
 /** The duties that one instance at a time carries out, all under one lease. */
@@ -75,7 +79,8 @@
     )
     private val isStopping: Boolean get() = inputs.phase() == InstancePhase.DRAINING
     private val caller: DutyCaller = DutyCaller(self.instance, ::activeLease, platform.duties, clock, log)
-    private val endpointOrderer = EndpointOrderer(caller, inputs.services, inputs.endpoints, FleetSizing())
+    private val endpointOrderer =
+        EndpointOrderer(caller, inputs.services, inputs.endpoints, FleetSizing(), inputs.demands::find, log)
     private val roleOrderer =
         RoleOrderer(caller, inputs.endpoints, RoleBalancer(), endpointOrderer::isGrowing, inputs.propagationTime)
     private var loggedLease: HeldLease? = null
@@ -83,6 +88,12 @@
     /** Whether this instance holds the duties. */
     val isHolding: Boolean get() = lease.heldLease() != null
 
+    /** The sum of the target numbers of endpoints, 0 while this instance does not hold the duties. */
+    val targetEndpoints: Int get() = endpointOrderer.targetEndpoints
+
+    /** Returns the sum of [figure] over the demands that the targets follow. */
+    fun sumDemand(figure: (FleetDemand) -> Double): Double = endpointOrderer.demands().sumOf(figure)
+
     /** Returns the instances that may hold the duties next, this one included. */
     fun participants(): List<InstanceId> = DutyPlacement.participants(duty, candidates())
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
@@ -26,7 +26,7 @@
     private val inquiry: FeedInquiry,
     private val clock: MonotonicClock,
     private val storeEra: () -> StoreEra?,
-    private val isHoldingDuties: () -> Boolean,
+    private val duties: InstanceDuties,
 ) {
     /** Registers the gauges with [metrics]. */
     fun register(metrics: GatewayMetrics) {
@@ -63,7 +63,12 @@
             endpoints.allStates().sumOf { it.limit.sentRequests }.toDouble()
         }
         metrics.registerGauge("gateway_store_era") { storeEra()?.value?.toDouble() ?: -1.0 }
-        metrics.registerGauge("gateway_duty_held") { if (isHoldingDuties()) 1.0 else 0.0 }
+        metrics.registerGauge("gateway_duty_held") { if (duties.isHolding) 1.0 else 0.0 }
+        metrics.registerGauge("gateway_target_endpoints") { duties.targetEndpoints.toDouble() }
+        metrics.registerGauge("gateway_demand_prompt_tokens_per_second") {
+            duties.sumDemand { it.promptTokensPerMillisecond } * MILLISECONDS_PER_SECOND
+        }
+        metrics.registerGauge("gateway_demand_output_slots") { duties.sumDemand { it.outputSlots } }
     }
 
     /** Returns a snapshot. The longest delay of the event loop is counted from the previous one. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/PeerReports.kt
@@ -1,5 +1,6 @@
 package org.nutmegspring.gateway.instance
 
+import org.nutmegspring.gateway.duties.FleetDemands
 import org.nutmegspring.gateway.endpoints.EndpointTable
 import org.nutmegspring.gateway.forwarding.CrashGuard
 import org.nutmegspring.gateway.forwarding.EndpointLimits
@@ -28,6 +29,7 @@
     private val crashGuard: CrashGuard,
     private val limits: EndpointLimits,
     private val history: StoreHistory,
+    private val demands: FleetDemands,
     private val clock: MonotonicClock,
 ) {
     private var nextUnreachable = 0
@@ -38,6 +40,7 @@
         val now = clock.now()
         if (report.instance == self || !peers.recordReport(report, now)) return
         quotas.recordPeerReport(report)
+        demands.applyReport(report)
         history.recordReported(StoreEra(report.storeEra), report.storeEraAgeMilliseconds.milliseconds)
         val lifetime = report.lifetime(LOAD_LIFETIME, LOAD_LIFETIME_INTERVALS)
         val avoidanceEnd = now + report.lifetime(AVOIDANCE_LIFETIME)
@@ -77,6 +80,9 @@
         }.map { it.endpoint.id }
     }
 
+    /** Adds the demand that this instance received to [report]. */
+    fun addDemands(report: PeerReport): PeerReport = demands.addTo(report)
+
     /** Returns what is known of [count] prompt parts under which engines crashed, in turn when there are more. */
     fun nextPromptParts(count: Int): List<PromptPartEntry> = crashGuard.nextEntries(count)
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/ReportComposer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/ReportComposer.kt
@@ -21,8 +21,8 @@
 /**
  * Composes the reports of this instance to the others.
  *
- * Usage counts are sent only to the instances that report usage or may do so next. They are most of the bytes, and no
- * other instance needs them.
+ * Usage counts and the demand are sent only to the instances that hold the duties or may do so next. They are most of
+ * the bytes, and no other instance needs them.
  */
 internal class ReportComposer(
     private val self: LeaseHolder,
@@ -106,7 +106,7 @@
         return isDue
     }
 
-    private fun withUsage(report: PeerReport): PeerReport = report.copy(
+    private fun withUsage(report: PeerReport): PeerReport = reports.addDemands(report).copy(
         windows = usage.snapshot().map { (window, requests) -> WindowReport(window, requests) }.takeLast(SENT_WINDOWS),
         endedProcesses = peers.nextEndedProcesses(clock.now()),
     )
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
@@ -9,8 +9,10 @@
 import org.nutmegspring.identity.OrganisationId
 import org.nutmegspring.identity.PromptPartId
 import org.nutmegspring.identity.RequestId
+import org.nutmegspring.identity.ServiceId
 import org.nutmegspring.placement.EnginePlan
 import org.nutmegspring.platform.StoreEra
+import org.nutmegspring.spending.SizingDecision
 import kotlin.time.Duration
 
 /** A decision about a request, or a change of the state that decisions rest on. One event is one log line. */
@@ -266,6 +268,25 @@
             mapOf("duty" to duty, "subject" to subject, "fencing" to fencing.value, "outcome" to outcome)
     }
 
+    /** The target numbers of endpoints of a service changed. */
+    class TargetsChanged(private val service: ServiceId, private val decision: SizingDecision) : DecisionEvent {
+        override val name: String get() = "endpoint targets changed"
+
+        override fun fields(): Map<String, Any?> = mapOf(
+            "service" to service.value,
+            "reason" to decision.reason.name.lowercase(),
+            "targets" to decision.targets.entries.joinToString(",") { (dataCentre, target) ->
+                "${dataCentre.value}:${target.steady}+${target.interruptible}"
+            },
+            "requiredEndpoints" to decision.requirement?.total,
+            "requiredAfterLoss" to decision.requirement?.afterLoss,
+            "promptTokensPerMillisecond" to decision.demand?.promptTokensPerMillisecond?.toLong(),
+            "outputSlots" to decision.demand?.outputSlots?.toLong(),
+            "refusedShare" to decision.demand?.refusedShare,
+            "historyIsComplete" to decision.demand?.isComplete,
+        )
+    }
+
     /** The process changed its phase. */
     class PhaseChanged(private val phase: String, private val reason: String) : DecisionEvent {
         override val name: String get() = "phase changed"
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
@@ -8,6 +8,7 @@
 import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.identity.OrganisationId
 import org.nutmegspring.identity.PromptPartId
+import org.nutmegspring.identity.ServiceId
 import org.nutmegspring.membership.InstancePhase
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -80,6 +81,16 @@
     @CborLabel(3) val ageMilliseconds: Long,
 )
 
+/** What the sender was asked for since its process started, for one service. See `DemandCounts`. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+data class DemandReport(
+    @CborLabel(1) val service: ServiceId,
+    @CborLabel(2) val promptTokens: Long = 0,
+    @CborLabel(3) val outputMilliseconds: Long = 0,
+    @CborLabel(4) val refusedTokens: Long = 0,
+)
+
 /**
  * The report that an instance sends to the others several times in a few seconds. What a lost report told is told again
  * by a later one.
@@ -100,6 +111,8 @@
  * @property endedProcesses counts of processes that recently stopped reporting, for instances that started afterwards
  * @property chargeCoverageMilliseconds how far back the sender knows what the fleet charged, null for the quota window
  * @property chargeHistory what the fleet charged; only instances that have just started receive it
+ * @property demands demand by service; only instances that take part in the duties receive it
+ * @property demandElapsedMilliseconds the time from the start of the process until [demands] were counted
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -126,6 +139,8 @@
     @CborLabel(20) val storeEraAgeMilliseconds: Long = 0,
     @CborLabel(21) val chargeCoverageMilliseconds: Long? = null,
     @CborLabel(22) val chargeHistory: ChargeHistoryReport? = null,
+    @CborLabel(26) val demands: List<DemandReport> = emptyList(),
+    @CborLabel(27) val demandElapsedMilliseconds: Long = 0,
 ) {
     /**
      * Returns how long the report is valid: at least [minimum], and [intervals] times the interval between reports. By
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/EndpointOrdererSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/EndpointOrdererSpec.kt
@@ -5,15 +5,18 @@
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Nested
+import org.nutmegspring.gateway.configuration.EngineCapabilities
 import org.nutmegspring.gateway.configuration.ServiceDefinition
 import org.nutmegspring.gateway.endpointOf
 import org.nutmegspring.gateway.endpoints.EndpointTable
+import org.nutmegspring.gateway.observe.DecisionEvent
 import org.nutmegspring.gateway.singleInstance
 import org.nutmegspring.gateway.store.FeedEntry
 import org.nutmegspring.gateway.store.FeedPosition
 import org.nutmegspring.gateway.store.Listing
 import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.platform.ListedState
+import org.nutmegspring.spending.FleetDemand
 import org.nutmegspring.spending.FleetSizing
 import org.nutmegspring.spending.ScalingPolicy
 import org.nutmegspring.time.MonotonicTime
@@ -30,10 +33,14 @@
     private val service = endpointOf("any").service
     private val policy = ScalingPolicy(minEndpoints = 1, maxEndpoints = 5, 4.seconds, interruptiblePriceRatio = 0.2)
     private var isHeld = true
+    private var engines: EngineCapabilities? = null
+    private var demand: FleetDemand? = null
+    private val log = mutableListOf<DecisionEvent>()
 
     private fun TestScope.start(scaling: ScalingPolicy? = policy): EndpointOrderer {
-        val services = { listOf(ServiceDefinition(service, engines = null, scaling)) }
-        val orderer = EndpointOrderer(dutyCaller(calls) { isHeld }, services, table, FleetSizing())
+        val services = { listOf(ServiceDefinition(service, engines, scaling)) }
+        val orderer =
+            EndpointOrderer(dutyCaller(calls) { isHeld }, services, table, FleetSizing(), { demand }) { log += it }
         backgroundScope.launch { orderer.run() }
         return orderer
     }
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/instance/PeerReportsSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/instance/PeerReportsSpec.kt
@@ -3,9 +3,11 @@
 import org.junit.jupiter.api.Nested
 import org.nutmegspring.gateway.TestClock
 import org.nutmegspring.gateway.crashGuardOf
+import org.nutmegspring.gateway.duties.FleetDemands
 import org.nutmegspring.gateway.endpointOf
 import org.nutmegspring.gateway.endpoints.EndpointState
 import org.nutmegspring.gateway.endpoints.EndpointTable
+import org.nutmegspring.gateway.forwarding.DemandCounter
 import org.nutmegspring.gateway.forwarding.EndpointLimits
 import org.nutmegspring.gateway.forwarding.QuotaTable
 import org.nutmegspring.gateway.peers.EndpointLimitReport
@@ -47,6 +49,7 @@
             crashGuard,
             EndpointLimits(table, clock) { },
             StoreHistory(clock) { _, _ -> },
+            FleetDemands(Incarnation(9), DemandCounter(), { emptyList() }, { 1 }, clock),
             clock,
         )
     private val service = endpointOf("any").service
