Specs of sizing by demand; do not lower on what only stands ordered

The specs cover no or lost reports, a new holder with and without a history, refused orders, a lost data centre, growing demand and requests before the traffic. They found that a successor lowered at its first look, and that ordered endpoints that do not run counted when others were released; both are changed. The history now begins anew after single requests and a pause, so that they do not pass for the history of the traffic.

--- a/decisions/src/main/kotlin/org/nutmegspring/spending/DemandSizing.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/spending/DemandSizing.kt
@@ -75,7 +75,10 @@
             hold(whole, now)
             return SizingDecision(whole, SizingReason.WHOLE_RANGE)
         }
-        if (held == null) hold(if (demand.isComplete) limitToRunning(whole, running) else whole, now)
+        if (held == null) {
+            hold(if (demand.isComplete) limitToRunning(whole, running) else whole, now)
+            lowerableFrom = now + PAUSE_AFTER_RAISE
+        }
         val current = whole.mapValues { (dataCentre, counts) -> held?.get(dataCentre) ?: counts }
         val maximum = whole.values.sumOf { it.steady + it.interruptible }
         val required = capacity.computeRequirement(demand, slots, maximum)
@@ -156,6 +159,13 @@
             return total >= requirement.total && isLossCovered
         }
 
+        /** Ordered endpoints that do not run yet, or whose order was refused, allow no other to be released. */
+        private fun limitToRunning(
+            counts: Map<DataCentreId, EndpointCounts>,
+        ) = counts.mapValues { (dataCentre, target) ->
+            target.copy(interruptible = minOf(target.interruptible, running[dataCentre]?.interruptible ?: 0))
+        }
+
         private fun limit(dataCentre: DataCentreId, count: Int): Int =
             if (dataCentre in lost) minOf(count, running[dataCentre]?.interruptible ?: 0) else count
 
@@ -187,7 +197,7 @@
             }.filter { (dataCentre, lowered) ->
                 val released = targets.getValue(dataCentre).interruptible - lowered.interruptible
                 released >= maxOf(2.0, limits.getValue(dataCentre) * MINIMUM_RELEASED_SHARE) &&
-                    meets(requirement, targets + (dataCentre to lowered))
+                    meets(requirement, limitToRunning(targets + (dataCentre to lowered)))
             }.maxByOrNull { (dataCentre, lowered) ->
                 (targets.getValue(dataCentre).interruptible - lowered.interruptible) * policy.findPrice(dataCentre)
             }?.let { SizingDecision(targets + it, SizingReason.LOWERED) }
--- a/decisions/src/main/kotlin/org/nutmegspring/spending/FleetDemand.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/spending/FleetDemand.kt
@@ -114,14 +114,26 @@
             return
         }
         val total = rates.reduce(Rate::plus) * maxOf(1.0, instances.toDouble() / rates.size)
-        if (total.promptTokens > 0) {
-            if (trafficSince == null) trafficSince = now
-            if (coveredSince == null) coveredSince = now
+        trackTraffic(total.promptTokens > 0, now)
+        val isWarmUp = trafficSince?.let { now - it < WARM_UP } ?: true
+        if (trafficSince != null || samples.isNotEmpty()) samples.addLast(Sample(now, total, isWarmUp))
+    }
+
+    /** Single requests before the traffic are no history of it: the history begins anew after a pause. */
+    private fun trackTraffic(hasTraffic: Boolean, now: MonotonicTime) {
+        if (hasTraffic) {
+            trafficSince = trafficSince ?: now
+            coveredSince = coveredSince ?: now
+        } else {
+            coveredSince = null
+            // After longer traffic caches stay warm.
+            if (samples.all { it.isWarmUp }) trafficSince = null
         }
-        val startedAt = trafficSince ?: return
-        samples.addLast(Sample(now, total, isWarmUp = now - startedAt < WARM_UP))
     }
 
+    private fun isComplete(now: MonotonicTime): Boolean =
+        coveredSince?.let { now - it >= COMPLETE_HISTORY } ?: false
+
     /** Returns the demand at [now], or null when none was measured in the last seconds. */
     fun read(now: MonotonicTime): FleetDemand? {
         val last = samples.lastOrNull() ?: return null
@@ -133,7 +145,7 @@
             promptTokensPerMillisecond = peaks.maxOf { it.rate.promptTokens },
             outputSlots = peaks.maxOf { it.rate.outputMilliseconds },
             refusedShare = if (recentTokens > 0) recent.sumOf { it.rate.refusedTokens } / recentTokens else 0.0,
-            isComplete = coveredSince?.let { now - it >= COMPLETE_HISTORY } ?: false,
+            isComplete = isComplete(now),
         )
     }
 
