--- a/decisions/src/test/kotlin/org/nutmegspring/spending/FleetOrderPlannerSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/spending/FleetOrderPlannerSpec.kt
@@ -141,6 +141,21 @@
             assertEquals(listOf(CountOrder(rennes, true, 6)), planAndRecord(rest, start + 33.seconds))
         }
 
+        @Test
+        fun `no steady ones substitute where other data centres run more endpoints instead`() {
+            planAndRecord(running(1, 0), start)
+            planAndRecord(withLoss, start + 20.seconds, isAccepted = false)
+            val planned =
+                planner.planOrders(
+                    targets,
+                    withLoss,
+                    isIdle = false,
+                    start + 20.5.seconds,
+                    replacedElsewhere = setOf(rennes),
+                )
+            assertEquals(emptyList(), planned)
+        }
+
         @Test
         fun `a lost steady endpoint is ordered at once`() {
             val lost = running(1, 6) + (rennes to EndpointCounts(0, 6))
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/EndpointOrdererSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/EndpointOrdererSpec.kt
@@ -14,6 +14,7 @@
 import org.nutmegspring.gateway.store.FeedEntry
 import org.nutmegspring.gateway.store.FeedPosition
 import org.nutmegspring.gateway.store.Listing
+import org.nutmegspring.identity.DataCentreId
 import org.nutmegspring.identity.EndpointId
 import org.nutmegspring.platform.ListedState
 import org.nutmegspring.spending.FleetDemand
@@ -99,6 +100,75 @@
         }
     }
 
+    @Nested
+    inner class `when the endpoints of a service follow its demand` {
+        private val names = listOf("brest", "rennes")
+        private val sized = ScalingPolicy(2, 21, 4.seconds, 0.22, names.associate { DataCentreId(it) to 1.0 })
+        private val low = FleetDemand(1.0, outputSlots = 1.0, refusedShare = 0.0, isComplete = true)
+
+        private fun listInBoth(interruptible: Int) {
+            val entries = names.flatMap { name ->
+                List(2 + interruptible) { index ->
+                    val endpoint = endpointOf("$name$index")
+                        .copy(dataCentre = DataCentreId(name), isInterruptible = index >= 2)
+                    FeedEntry("$name$index", endpoint)
+                }
+            }
+            table.replace(Listing(entries, FeedPosition(1)), null, MonotonicTime.ZERO)
+        }
+
+        private fun TestScope.startWithWholeRange(): EndpointOrderer {
+            engines = EngineCapabilities(64, 440_059, 163_840.0, 2_000.0)
+            listInBoth(interruptible = 19)
+            checkNotNull(table.findState(EndpointId("brest0"))).ownLoad.addRequest(1)
+            return start(sized).also { testScheduler.advanceTimeBy(20.seconds) }
+        }
+
+        @Test
+        fun `nothing is lowered before the demand is known`() = runTest {
+            startWithWholeRange()
+            assertEquals(emptyList(), ordered())
+        }
+
+        @Test
+        fun `they are released by one order in each data centre, which are logged, and roles may still change`() =
+            runTest {
+                val orderer = startWithWholeRange()
+                demand = low
+                testScheduler.advanceTimeBy(30.seconds)
+                assertEquals(listOf(true to 13, true to 13), ordered())
+                assertEquals(2, calls.endpoints.map { it.dataCentre }.distinct().size)
+                assertFalse(orderer.isGrowing(service))
+                val changes = log.filter { it.name == "endpoint targets changed" }.map { it.fields() }
+                assertEquals(listOf("whole_range", "lowered", "lowered"), changes.map { it["reason"] })
+                assertEquals("brest:2+13,rennes:2+13", changes.last()["targets"])
+                assertEquals(30, orderer.targetEndpoints)
+            }
+
+        @Test
+        fun `an order that the interface did not answer is repeated`() = runTest {
+            startWithWholeRange()
+            demand = low
+            calls.isAnswering = false
+            testScheduler.advanceTimeBy(5.seconds)
+            assertTrue(ordered().size >= 2 && ordered().distinct() == listOf(true to 13), "${ordered()}")
+        }
+
+        @Test
+        fun `an instance that held the duties before starts from what runs`() = runTest {
+            val orderer = startWithWholeRange()
+            isHeld = false
+            testScheduler.advanceTimeBy(2.seconds)
+            assertEquals(0, orderer.targetEndpoints)
+            demand = low
+            listInBoth(interruptible = 15)
+            isHeld = true
+            testScheduler.advanceTimeBy(5.seconds)
+            assertEquals(emptyList(), ordered())
+            assertEquals(34, orderer.targetEndpoints)
+        }
+    }
+
     @Nested
     inner class `when nothing may be ordered` {
         @Test
