--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/EndpointOrderer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/EndpointOrderer.kt
@@ -18,6 +18,7 @@
 import org.nutmegspring.spending.FleetSizing
 import org.nutmegspring.spending.ScalingPolicy
 import org.nutmegspring.spending.SizingDecision
+import org.nutmegspring.spending.SizingReason
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -84,10 +85,15 @@
         val decision = sizings.getOrPut(service.id) { DemandSizing(sizing) }
             .update(policy, service.engines?.slots, running, findDemand(service.id), now) ?: return null
         val previous = decisions.put(service.id, decision)
-        if (decision.targets != previous?.targets) log.record(DecisionEvent.TargetsChanged(service.id, decision))
+        if (isNews(decision, previous)) log.record(DecisionEvent.TargetsChanged(service.id, decision))
         return decision
     }
 
+    /** An overload is news even when the whole range is ordered already: it is why nothing is lowered. */
+    private fun isNews(decision: SizingDecision, previous: SizingDecision?): Boolean =
+        decision.targets != previous?.targets ||
+            (decision.reason == SizingReason.OVERLOADED && previous.reason != SizingReason.OVERLOADED)
+
     private suspend fun sendDueOrders(service: ServiceDefinition) {
         val policy = service.scaling ?: return
         val running = countRunning(service.id)
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
@@ -69,6 +69,7 @@
             duties.sumDemand { it.promptTokensPerMillisecond } * MILLISECONDS_PER_SECOND
         }
         metrics.registerGauge("gateway_demand_output_slots") { duties.sumDemand { it.outputSlots } }
+        metrics.registerGauge("gateway_demand_refused_share") { duties.sumDemand { it.refusedShare } }
     }
 
     /** Returns a snapshot. The longest delay of the event loop is counted from the previous one. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
@@ -268,7 +268,7 @@
             mapOf("duty" to duty, "subject" to subject, "fencing" to fencing.value, "outcome" to outcome)
     }
 
-    /** The target numbers of endpoints of a service changed. */
+    /** The target numbers of endpoints of a service changed, or its engines have begun to refuse work. */
     class TargetsChanged(private val service: ServiceId, private val decision: SizingDecision) : DecisionEvent {
         override val name: String get() = "endpoint targets changed"
 
