--- a/decisions/src/main/kotlin/org/nutmegspring/roles/RoleBalancer.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/roles/RoleBalancer.kt
@@ -71,8 +71,8 @@
     }
 
     /**
-     * Returns the smallest and the greatest share of engines with [slots] that may decode without a planned change, in a
-     * fleet that is many times as large as the minimum number of decode engines.
+     * Returns the smallest and the greatest share of engines with [slots] that may decode without a planned change, in
+     * a fleet that is many times as large as the minimum number of decode engines.
      */
     fun findDecodeShares(slots: Int): ClosedFloatingPointRange<Double> {
         val slotShare = computeSlotShare(maxOf(1, slots).toDouble())
--- a/decisions/src/main/kotlin/org/nutmegspring/spending/DemandSizing.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/spending/DemandSizing.kt
@@ -69,41 +69,47 @@
         demand: FleetDemand?,
         now: MonotonicTime,
     ): SizingDecision? {
-        val whole = wholeRange.computeTargets(policy, running.keys) ?: return null
-        if (whole.isEmpty()) return null
-        if (!policy.isSizedByDemand || slots == null || demand == null) {
-            hold(whole, now)
-            return SizingDecision(whole, SizingReason.WHOLE_RANGE)
+        val whole = wholeRange.computeTargets(policy, running.keys)?.takeIf { it.isNotEmpty() } ?: return null
+        val decision = if (policy.isSizedByDemand && slots != null && demand != null) {
+            follow(demand, slots, Range(policy, whole, running), now)
+        } else {
+            SizingDecision(whole, SizingReason.WHOLE_RANGE)
         }
+        pauseLowering(decision.reason, now)
+        hold(decision.targets, now)
+        return decision
+    }
+
+    private fun follow(demand: FleetDemand, slots: Int, range: Range, now: MonotonicTime): SizingDecision {
         if (held == null) {
-            hold(if (demand.isComplete) limitToRunning(whole, running) else whole, now)
+            hold(if (demand.isComplete) range.limitToRunning(range.whole) else range.whole, now)
             lowerableFrom = now + PAUSE_AFTER_RAISE
         }
-        val current = whole.mapValues { (dataCentre, counts) -> held?.get(dataCentre) ?: counts }
-        val maximum = whole.values.sumOf { it.steady + it.interruptible }
+        val maximum = range.whole.values.sumOf { it.steady + it.interruptible }
         val required = capacity.computeRequirement(demand, slots, maximum)
         if (demand.refusedShare > MAXIMUM_REFUSED_SHARE) {
-            lowerableFrom = now + PAUSE_AFTER_OVERLOAD
-            hold(whole, now)
-            return SizingDecision(whole, SizingReason.OVERLOADED, demand, required)
+            return SizingDecision(range.whole, SizingReason.OVERLOADED, demand, required)
         }
+        val current = range.whole.mapValues { (dataCentre, counts) -> held?.get(dataCentre) ?: counts }
         val withMargin = capacity.computeRequirement(demand.scaled(CHANGE_MARGIN), slots, maximum)
-        val fleet = Fleet(policy, whole, current, running, findLost(policy, current, running, now))
+        val fleet = Fleet(range, current, findLost(range, current, now))
+        val canLower = demand.isComplete && fleet.lost.isEmpty() && lowerableFrom?.let { now >= it } ?: true
         val decision = when {
             !fleet.meets(required) -> fleet.raise(withMargin)
-            !demand.isComplete || fleet.lost.isNotEmpty() || isTooEarly(now) -> null
-            else -> fleet.lower(withMargin)
+            canLower -> fleet.lower(withMargin)
+            else -> null
         } ?: SizingDecision(current, SizingReason.KEPT, replacedElsewhere = fleet.lost)
-        when (decision.reason) {
-            SizingReason.RAISED, SizingReason.REPLACED -> lowerableFrom = now + PAUSE_AFTER_RAISE
-            SizingReason.LOWERED -> lowerableFrom = now + PAUSE_AFTER_LOWERING
-            else -> Unit
-        }
-        hold(decision.targets, now)
         return decision.copy(demand = demand, requirement = required)
     }
 
-    private fun isTooEarly(now: MonotonicTime): Boolean = lowerableFrom?.let { now < it } ?: false
+    private fun pauseLowering(reason: SizingReason, now: MonotonicTime) {
+        lowerableFrom = when (reason) {
+            SizingReason.OVERLOADED -> now + PAUSE_AFTER_OVERLOAD
+            SizingReason.RAISED, SizingReason.REPLACED -> now + PAUSE_AFTER_RAISE
+            SizingReason.LOWERED -> now + PAUSE_AFTER_LOWERING
+            SizingReason.WHOLE_RANGE, SizingReason.KEPT -> lowerableFrom
+        }
+    }
 
     private fun hold(targets: Map<DataCentreId, EndpointCounts>, now: MonotonicTime) {
         targets.forEach { (dataCentre, counts) ->
@@ -117,36 +123,43 @@
         held = held.orEmpty() + targets
     }
 
-    /** Returns the numbers of interruptible endpoints that run, as a new holder of the duties finds them. */
-    private fun limitToRunning(
-        whole: Map<DataCentreId, EndpointCounts>,
-        running: Map<DataCentreId, EndpointCounts>,
-    ): Map<DataCentreId, EndpointCounts> = whole.mapValues { (dataCentre, counts) ->
-        counts.copy(interruptible = minOf(counts.interruptible, running[dataCentre]?.interruptible ?: 0))
-    }
-
     /** Returns the data centres that miss more interruptible endpoints than a replacement or a start explains. */
     private fun findLost(
-        policy: ScalingPolicy,
+        range: Range,
         targets: Map<DataCentreId, EndpointCounts>,
-        running: Map<DataCentreId, EndpointCounts>,
         now: MonotonicTime,
     ): Set<DataCentreId> = targets.filter { (dataCentre, target) ->
-        val missing = target.interruptible - (running[dataCentre]?.interruptible ?: 0)
+        val missing = target.interruptible - range.countRunning(dataCentre)
         val isMissing = missing > maxOf(1, (target.interruptible * TOLERATED_SHARE).toInt())
         if (!isMissing) reached += dataCentre
         val startsSince = raisedAt[dataCentre] ?: now
-        isMissing && (dataCentre in reached || now - startsSince >= policy.startUpTime * START_UP_FACTOR + START_MARGIN)
+        val startTime = range.policy.startUpTime * START_UP_FACTOR + START_MARGIN
+        isMissing && (dataCentre in reached || now - startsSince >= startTime)
     }.keys
 
+    /** The [whole] range that may be ordered, and what runs of it. */
+    private class Range(
+        val policy: ScalingPolicy,
+        val whole: Map<DataCentreId, EndpointCounts>,
+        private val running: Map<DataCentreId, EndpointCounts>,
+    ) {
+        fun countRunning(dataCentre: DataCentreId): Int = running[dataCentre]?.interruptible ?: 0
+
+        /** Ordered endpoints that do not run yet, or whose order was refused, allow no other to be released. */
+        fun limitToRunning(counts: Map<DataCentreId, EndpointCounts>): Map<DataCentreId, EndpointCounts> =
+            counts.mapValues { (dataCentre, target) ->
+                target.copy(interruptible = minOf(target.interruptible, countRunning(dataCentre)))
+            }
+    }
+
     /** The endpoints of one moment. [lost] names data centres whose interruptible endpoints are missing. */
     private class Fleet(
-        private val policy: ScalingPolicy,
-        private val whole: Map<DataCentreId, EndpointCounts>,
+        private val range: Range,
         private val targets: Map<DataCentreId, EndpointCounts>,
-        private val running: Map<DataCentreId, EndpointCounts>,
         val lost: Set<DataCentreId>,
     ) {
+        private val policy = range.policy
+        private val whole = range.whole
         private val steady = targets.values.sumOf { it.steady }
 
         /** Whether the targets meet [requirement], in a data centre with a loss those that run. */
@@ -159,15 +172,8 @@
             return total >= requirement.total && isLossCovered
         }
 
-        /** Ordered endpoints that do not run yet, or whose order was refused, allow no other to be released. */
-        private fun limitToRunning(
-            counts: Map<DataCentreId, EndpointCounts>,
-        ) = counts.mapValues { (dataCentre, target) ->
-            target.copy(interruptible = minOf(target.interruptible, running[dataCentre]?.interruptible ?: 0))
-        }
-
         private fun limit(dataCentre: DataCentreId, count: Int): Int =
-            if (dataCentre in lost) minOf(count, running[dataCentre]?.interruptible ?: 0) else count
+            if (dataCentre in lost) minOf(count, range.countRunning(dataCentre)) else count
 
         /** Returns higher targets that meet [requirement], or the whole range, where the data centres have it. */
         fun raise(requirement: EndpointRequirement): SizingDecision {
@@ -197,7 +203,7 @@
             }.filter { (dataCentre, lowered) ->
                 val released = targets.getValue(dataCentre).interruptible - lowered.interruptible
                 released >= maxOf(2.0, limits.getValue(dataCentre) * MINIMUM_RELEASED_SHARE) &&
-                    meets(requirement, limitToRunning(targets + (dataCentre to lowered)))
+                    meets(requirement, range.limitToRunning(targets + (dataCentre to lowered)))
             }.maxByOrNull { (dataCentre, lowered) ->
                 (targets.getValue(dataCentre).interruptible - lowered.interruptible) * policy.findPrice(dataCentre)
             }?.let { SizingDecision(targets + it, SizingReason.LOWERED) }
@@ -215,7 +221,7 @@
         val PAUSE_AFTER_OVERLOAD = 15.seconds
         val PAUSE_AFTER_RAISE = 10.seconds
 
-        /** Reports of the demand take 1 to 2 s, and prompts whose cached parts are gone are asked for again meanwhile. */
+        /** Reports take 1 to 2 s to tell of prompts whose cached parts are prefilled again. */
         val PAUSE_AFTER_LOWERING = 3.seconds
 
         /** Targets are set for a demand that is higher by this factor, so that they need not rise again soon. */
--- a/decisions/src/main/kotlin/org/nutmegspring/spending/EndpointRequirement.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/spending/EndpointRequirement.kt
@@ -16,9 +16,9 @@
  * Computes the number of engines that a demand needs.
  *
  * Load pattern: a prompt takes 60 to 300 ms of an engine and its objective is 400 to 1,200 ms, so that few prompts may
- * wait for another one. Instances choose engines without knowing each other's latest choices, and prefer those that have
- * a prompt's parts cached: the busiest engine has 1.5 to 2.5 times the load of the mean one. Engines therefore run far
- * below their speed on average.
+ * wait for another one. Instances choose engines without knowing each other's latest choices, and prefer those that
+ * have a prompt's parts cached: the busiest engine has 1.5 to 2.5 times the load of the mean one. Engines therefore run
+ * far below their speed on average.
  *
  * @param tokensPerMillisecond the prefill speed of an engine. Engines prefill 50 to 61 tokens per ms; where 15 in 100
  * are 2.5 times slower for moments, 45 remain of 50
--- a/decisions/src/main/kotlin/org/nutmegspring/spending/FleetDemand.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/spending/FleetDemand.kt
@@ -42,9 +42,9 @@
 /**
  * Measures the demand of the fleet on one service from counts that each process reports.
  *
- * Counts grow from the start of a process, so that a later report also covers what a lost one told. The rate of a process
- * is taken between two of its reports, by its own clock, and counts until its report expires. Instances without a valid
- * rate are assumed to receive the mean of the others. When fewer than half have one, nothing is measured.
+ * Counts grow from the start of a process, so that a later report also covers what a lost one told. The rate of a
+ * process is taken between two of its reports, by its own clock, and counts until its report expires. Instances without
+ * a valid rate are assumed to receive the mean of the others. When fewer than half have one, nothing is measured.
  */
 class FleetDemandEstimate {
     private class Source(val counts: DemandCounts, val countedAt: Duration) {
