--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -62,10 +62,7 @@
         findQuarantineEnd(run, last)?.let { return Next.Ended(it) }
         val plan = choice.choose(run, limit.computeMaximumWait(shortestObjective(run)))
         val refusal = plan?.let { refusal(run, progress, it) }
-        if (run.trace.plan == null) {
-            demand.record(run.admitted, plan, isRefused = plan == null || refusal != null)
-            run.trace.plan = plan
-        }
+        recordFirstPlan(run, plan, isRefused = plan == null || refusal != null)
         if (plan == null) return Next.Ended(last)
         val isFurther = run.trace.endpoints.isNotEmpty()
         return when {
@@ -96,6 +93,13 @@
         }
     }
 
+    /** Records what the first plan asks of engines; later ones for the same request are no further demand. */
+    private fun recordFirstPlan(run: RequestRun, plan: EnginePlan?, isRefused: Boolean) {
+        if (run.trace.plan != null) return
+        demand.record(run.admitted, plan, isRefused)
+        run.trace.plan = plan
+    }
+
     /** Returns how [run] ends if a part of its prompt is quarantined, or null. */
     private fun findQuarantineEnd(run: RequestRun, last: RunEnd): RunEnd? {
         val part = crashGuard.refuse(run.sharedParts) ?: return null
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
@@ -64,6 +64,10 @@
         }
         metrics.registerGauge("gateway_store_era") { storeEra()?.value?.toDouble() ?: -1.0 }
         metrics.registerGauge("gateway_duty_held") { if (duties.isHolding) 1.0 else 0.0 }
+        registerSizing(metrics)
+    }
+
+    private fun registerSizing(metrics: GatewayMetrics) {
         metrics.registerGauge("gateway_target_endpoints") { duties.targetEndpoints.toDouble() }
         metrics.registerGauge("gateway_demand_prompt_tokens_per_second") {
             duties.sumDemand { it.promptTokensPerMillisecond } * MILLISECONDS_PER_SECOND
