--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -32,6 +32,7 @@
     private val limit: QueueWaitLimit,
     private val crashGuard: CrashGuard,
     private val errors: EndpointErrors,
+    private val demand: DemandCounter,
 ) {
     /** Serves [run]. */
     suspend fun serve(run: RequestRun): RunEnd {
@@ -61,9 +62,10 @@
 
     private suspend fun nextAttempt(run: RequestRun, progress: StreamProgress, last: RunEnd): Next {
         findQuarantineEnd(run, last)?.let { return Next.Ended(it) }
-        val plan = choice.choose(run, limit.computeMaximumWait(shortestObjective(run))) ?: return Next.Ended(last)
-        if (run.trace.plan == null) run.trace.plan = plan
-        val refusal = refusal(run, progress, plan)
+        val plan = choice.choose(run, limit.computeMaximumWait(shortestObjective(run)))
+        val refusal = plan?.let { refusal(run, progress, it) }
+        recordFirstPlan(run, plan, isRefused = plan == null || refusal != null)
+        if (plan == null) return Next.Ended(last)
         val isFurther = run.trace.endpoints.isNotEmpty()
         return when {
             refusal != null -> {
@@ -93,6 +95,13 @@
         }
     }
 
+    /** Records what the first plan asks of engines; later ones for the same request are no further demand. */
+    private fun recordFirstPlan(run: RequestRun, plan: EnginePlan?, isRefused: Boolean) {
+        if (run.trace.plan != null) return
+        demand.record(run.admitted, plan, isRefused)
+        run.trace.plan = plan
+    }
+
     /** Returns how [run] ends if a part of its prompt is quarantined, or null. */
     private fun findQuarantineEnd(run: RequestRun, last: RunEnd): RunEnd? {
         val part = crashGuard.refuse(run.sharedParts) ?: return null
@@ -353,7 +362,7 @@
     private fun createRunEnd(run: RequestRun, progress: StreamProgress, failure: Failure): RunEnd = when {
         progress.isStarted -> RunEnd.BrokenOff(failure.message)
         run.mayHaveRun -> RunEnd.Failed(failure.message, isTimeout = run.timeLeft() == Duration.ZERO)
-        else -> RunEnd.NotRun(failure.message, choice.timeUntilTurn(run) ?: RETRY_PAUSE)
+        else -> choice.createUnplacedEnd(run, failure.message, RETRY_PAUSE)
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.withContext
 import org.nutmegspring.admission.QueueWaitLimit
 import org.nutmegspring.evacuation.EvacuationState
+import org.nutmegspring.gateway.duties.FleetDemands
 import org.nutmegspring.gateway.endpoints.ColdEndpoints
 import org.nutmegspring.gateway.endpoints.EndpointChange
 import org.nutmegspring.gateway.endpoints.EndpointErrors
@@ -17,6 +18,7 @@
 import org.nutmegspring.gateway.forwarding.Admission
 import org.nutmegspring.gateway.forwarding.CrashGuard
 import org.nutmegspring.gateway.forwarding.CurrentConfiguration
+import org.nutmegspring.gateway.forwarding.DemandCounter
 import org.nutmegspring.gateway.forwarding.EndpointLimits
 import org.nutmegspring.gateway.forwarding.EndpointSender
 import org.nutmegspring.gateway.forwarding.EngineChoice
@@ -130,6 +132,8 @@
         }
     private val crashGuard =
         CrashGuard(EngineProbes(connections, ::permits, limits::tryContact), clock, log) { exchange.interval }
+    private val demandCounter = DemandCounter()
+    private val demands = FleetDemands(incarnation, demandCounter, ::listServices, { peers.registered.size + 1 }, clock)
     private val running = RunningRequests(
         ServiceForwarder(
             endpoints,
@@ -141,7 +145,16 @@
             clock,
             errors,
         ),
-        StreamForwarder(engineChoice, sender, retries, usage, QueueWaitLimit(), crashGuard, errors),
+        StreamForwarder(
+            engineChoice,
+            sender,
+            retries,
+            usage,
+            QueueWaitLimit(),
+            crashGuard,
+            errors,
+            demandCounter,
+        ),
     )
     private var phase = InstancePhase.JOINING
     private val servers = mutableListOf<HttpServer>()
@@ -153,16 +166,18 @@
         DutyInputs(
             phase = { phase },
             readyPeers = { peers.readyInstances(clock.now()) },
-            services = { currentConfiguration.configuration?.services?.values.orEmpty() },
+            services = ::listServices,
             propagationTime = { exchange.interval * PROPAGATION_INTERVALS },
             storeEraAge = history::age,
             countRequests = { usage.sumWith(it, peers.windowCounts(it)) },
             endpoints = endpoints,
+            demands = demands,
         ),
         clock,
         log,
     )
-    private val reports = PeerReports(self, peers, quotas, endpoints, crashGuard, limits, history, clock, cold)
+    private val reports =
+        PeerReports(self, peers, quotas, endpoints, crashGuard, limits, history, demands, clock, cold)
 
     private val composer = ReportComposer(
         LeaseHolder(self, incarnation),
@@ -202,9 +217,12 @@
             feeds.inquiry,
             clock,
             { history.era.value },
-        ) { duties.isHolding }
+            duties,
+        )
     }
 
+    private fun listServices() = currentConfiguration.configuration?.services?.values.orEmpty()
+
     private fun composeReports(): List<AddressedReport> = composer.compose(phase, exchange.interval)
 
     private fun findCacheCapacity(service: ServiceId): Long =
@@ -335,6 +353,7 @@
             currentConfiguration.recordReported(peers.newestConfiguration(now), now)
             crashGuard.update()
             quotas.updateMembers(peers.registered.keys)
+            demands.sample()
             val isServing = currentConfiguration.configuration != null && listCurrency.isRecent(now) &&
                 evacuations?.isListed ?: true
             if (phase == InstancePhase.JOINING && isServing) {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
@@ -26,7 +26,7 @@
     private val inquiry: FeedInquiry,
     private val clock: MonotonicClock,
     private val storeEra: () -> StoreEra?,
-    private val isHoldingDuties: () -> Boolean,
+    private val duties: InstanceDuties,
 ) {
     /** Registers the gauges with [metrics]. */
     fun register(metrics: GatewayMetrics) {
@@ -58,7 +58,7 @@
         metrics.registerGauge("gateway_quarantined_prompt_parts") { crashGuard.quarantinedCount.toDouble() }
         metrics.registerGauge("gateway_quarantine_refusals") { crashGuard.refusalCount.toDouble() }
         metrics.registerGauge("gateway_store_era") { storeEra()?.value?.toDouble() ?: -1.0 }
-        metrics.registerGauge("gateway_duty_held") { if (isHoldingDuties()) 1.0 else 0.0 }
+        metrics.registerGauge("gateway_duty_held") { if (duties.isHolding) 1.0 else 0.0 }
         registerEndpoints(metrics)
     }
 
@@ -73,6 +73,16 @@
         metrics.registerGauge("gateway_limited_endpoint_requests") {
             endpoints.allStates().sumOf { it.limit.sentRequests }.toDouble()
         }
+        registerSizing(metrics)
+    }
+
+    private fun registerSizing(metrics: GatewayMetrics) {
+        metrics.registerGauge("gateway_target_endpoints") { duties.targetEndpoints.toDouble() }
+        metrics.registerGauge("gateway_demand_prompt_tokens_per_second") {
+            duties.sumDemand { it.promptTokensPerMillisecond } * MILLISECONDS_PER_SECOND
+        }
+        metrics.registerGauge("gateway_demand_output_slots") { duties.sumDemand { it.outputSlots } }
+        metrics.registerGauge("gateway_demand_refused_share") { duties.sumDemand { it.refusedShare } }
     }
 
     /** Returns a snapshot. The longest delay of the event loop is counted from the previous one. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
@@ -8,6 +8,7 @@
 import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.identity.OrganisationId
 import org.nutmegspring.identity.PromptPartId
+import org.nutmegspring.identity.ServiceId
 import org.nutmegspring.membership.InstancePhase
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -104,6 +105,16 @@
     @CborLabel(4) val age: Long,
 )
 
+/** What the sender was asked for since its process started, for one service. See `DemandCounts`. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+data class DemandReport(
+    @CborLabel(1) val service: ServiceId,
+    @CborLabel(2) val promptTokens: Long = 0,
+    @CborLabel(3) val outputMilliseconds: Long = 0,
+    @CborLabel(4) val refusedTokens: Long = 0,
+)
+
 /**
  * The report that an instance sends to the others several times in a few seconds. What a lost report told is told again
  * by a later one.
@@ -127,6 +138,8 @@
  * @property speeds the lasting speeds of some endpoints, which the others use until they have observed them
  * @property coldEndpoints endpoints that are cold, and those that were until lately
  * @property hasTraffic whether the sender knows that some instance has sent a request to an endpoint
+ * @property demands demand by service; only instances that take part in the duties receive it
+ * @property demandElapsedMilliseconds the time from the start of the process until [demands] were counted
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -156,6 +169,8 @@
     @CborLabel(23) val coldEndpoints: List<ColdEndpointReport> = emptyList(),
     @CborLabel(24) val hasTraffic: Boolean = false,
     @CborLabel(25) val speeds: List<EndpointSpeedReport> = emptyList(),
+    @CborLabel(26) val demands: List<DemandReport> = emptyList(),
+    @CborLabel(27) val demandElapsedMilliseconds: Long = 0,
 ) {
     /**
      * Returns how long the report is valid: at least [minimum], and [intervals] times the interval between reports. By
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/endpoints/ColdEndpointsSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/endpoints/ColdEndpointsSpec.kt
@@ -164,7 +164,7 @@
     inner class `when another instance is told` {
         private val limits = EndpointLimits(table, clock, cold) { }
         private val other = ColdEndpoints(clock, { policy }) { true }
-        private val otherTable = EndpointTable({ 1_000 }, turns, other) { _, _ -> }
+        private val otherTable = EndpointTable({ 1_000 }, turns, cold = other) { _, _ -> }
         private val otherLimits = EndpointLimits(otherTable, clock, other) { }
 
         private fun isColdThere() = other.findAllowance(checkNotNull(otherTable.findState(endpoint.id))) != null
