--- a/command-line/src/test/kotlin/org/nutmegspring/commandline/process/GatewaySite.kt
+++ b/command-line/src/test/kotlin/org/nutmegspring/commandline/process/GatewaySite.kt
@@ -10,15 +10,27 @@
 class GatewaySite(private val folder: File, store: String) {
     private val callers = freePort()
 
+    /** Where callers send requests. */
+    val callerAddress = InetSocketAddress(HOST, callers)
+
+    /** Where readiness is asked for. */
+    val readinessAddress = InetSocketAddress(HOST, freePort())
+
+    /** Where addresses are asked for. */
+    val directoryAddress = InetSocketAddress(HOST, freePort())
+
+    /** Where metrics are read. */
+    val metricsAddress = InetSocketAddress(HOST, freePort())
+
     /** The settings. */
     val text: String = """
         instance: { id: entry-$callers, dataCentre: rennes }
         addresses:
           callers: "$HOST:$callers"
-          readiness: "$HOST:${freePort()}"
-          directory: "$HOST:${freePort()}"
+          readiness: "$HOST:${readinessAddress.port}"
+          directory: "$HOST:${directoryAddress.port}"
           exchange: "$HOST:0"
-          metrics: "$HOST:${freePort()}"
+          metrics: "$HOST:${metricsAddress.port}"
         platform: { store: "$store" }
         bounds:
           strictRevocation: true
@@ -66,8 +78,9 @@
         check(replacement.renameTo(settings)) { "the settings file was not replaced" }
     }
 
-    /** Starts the process. */
-    fun start() = ProductProcess(File(folder, "processes.log"), "gateway", "--settings", settings.path)
+    /** Starts the process with [options]. */
+    fun start(options: ProcessOptions = ProcessOptions()) =
+        ProductProcess(File(folder, "processes.log"), options, "gateway", "--settings", settings.path)
 
     private companion object {
         const val HOST = "127.0.0.1"
