Bound what all callers together make the gateway hold

Cause: each connection was bounded, and the sum was not. Whatever one read brought was decoded, also after reading was paused; answers without a reader waited without a bound; idle connections kept the buffer of their last body; connections took all descriptors; and an OutOfMemoryError was swallowed, so that a process without an event loop lived on.

Change: MemoryBudget decides over estimates of connections, heads with their fields, bodies, queued requests and unread answers: pause reading, then refuse as not run (503), then close those that hold most and move least; a reserve for connections that hold little. CallerDecoder decodes one part at a time and leaves the rest undecoded. Bodies that no route asks for are dropped. A connection with more than 32 KiB of unread answers gets no further request handled, and is closed after the idle time without progress. Connections are bounded below the descriptors. The process ends with one line and code 3 when memory is exhausted or the event loop does not answer. Settings memory.callerBytes and memory.connections.

The readiness, address and metrics servers refuse bodies above 16 KiB.

--- a/command-line/src/main/kotlin/org/nutmegspring/commandline/GatewayCommand.kt
+++ b/command-line/src/main/kotlin/org/nutmegspring/commandline/GatewayCommand.kt
@@ -30,7 +30,8 @@
             { settings ->
                 configureGatewayLogs()
                 val log = BoundedDecisionLog(systemMonotonicClock(), settings.logs.linesPerSecond)
-                val instance = startGateway(settings, log, ::createPlatformAdapter, context.signals::isStopRequested)
+                val isStopRequested = context.signals::isStopRequested
+                val instance = startGateway(settings, log, ::createPlatformAdapter, isStopRequested, ::endProcess)
                 if (instance != null) runUntilStopped(instance, file, log)
             },
         )
@@ -55,7 +56,17 @@
         )
     }
 
+    /** Ends the process with a line of its own, since the usual way to the log may need memory or the event loop. */
+    private fun endProcess(reason: String) {
+        context.out.println("""{"level":"ERROR","formattedMessage":"the process ends: $reason"}""")
+        context.out.flush()
+        Runtime.getRuntime().halt(EXIT_BROKEN)
+    }
+
     private companion object {
+        /** As the JVM ends with `-XX:+ExitOnOutOfMemoryError`. */
+        const val EXIT_BROKEN = 3
+
         /** How often the settings file is looked at; it may change without a signal. */
         val FILE_CHECK_INTERVAL = 2.seconds
     }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Admission.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Admission.kt
@@ -80,6 +80,10 @@
         AdmittedRequest(facts, configuration, route, service, organisation)
     }
 
+    /** Whether a route is known for [path] at [host]. */
+    fun hasRoute(host: String, path: String): Boolean =
+        currentConfiguration.configuration?.findRoute(host, path) != null
+
     private fun findOrganisation(
         configuration: ServingConfiguration,
         facts: RequestFacts,
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/GatewayHandler.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/GatewayHandler.kt
@@ -37,14 +37,23 @@
 ) : RequestHandler {
     override suspend fun handle(exchange: CallerExchange) {
         val facts = dialect.readRequest(exchange.call.headers)
-        val host = exchange.call.headers.get(HttpHeaderNames.HOST).orEmpty().substringBefore(':')
-        val path = exchange.call.target.substringBefore('?')
-        admission.decide(host, path, facts).fold(
+        admission.decide(exchange.call.headers.host(), exchange.call.target.path(), facts).fold(
             { refusal -> refuse(exchange, facts, null, refusal) },
-            { admitted -> charge(exchange, facts, admitted) },
+            { admitted ->
+                // The configuration has changed since the head was read.
+                if (exchange.call.isBodyDropped) return refuse(exchange, facts, admitted, UNKNOWN_ROUTE)
+                charge(exchange, facts, admitted)
+            },
         )
     }
 
+    override fun readsBody(target: String, headers: HttpHeaders): Boolean =
+        admission.hasRoute(headers.host(), target.path())
+
+    private fun HttpHeaders.host() = get(HttpHeaderNames.HOST).orEmpty().substringBefore(':')
+
+    private fun String.path() = substringBefore('?')
+
     override fun onUnanswered(request: UnansweredRequest) =
         recorder.recordUnanswered(dialect.readRequest(request.call.headers).id, request)
 
@@ -159,5 +168,7 @@
 
         /** Short, because the other instances accept the request. */
         val STOP_RETRY_AFTER = 50.milliseconds
+        val UNKNOWN_ROUTE =
+            Refusal.Unavailable("the route was not known when the body arrived", MINIMUM_RETRY_AFTER)
     }
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerConnection.kt
@@ -1,6 +1,6 @@
 package org.nutmegspring.gateway.http
 
-import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
@@ -29,7 +29,9 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
-import java.io.ByteArrayOutputStream
+import org.nutmegspring.memory.MemoryAccount
+import org.nutmegspring.memory.MemoryBudget
+import org.nutmegspring.memory.MemoryUse
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -46,11 +48,22 @@
     private val limits: ServerLimits,
     private val handler: RequestHandler,
     private val connections: MutableSet<CallerConnection>,
+    private val memory: CallerMemory,
+    private val onFatal: (Throwable) -> Unit,
 ) : SimpleChannelInboundHandler<HttpObject>() {
     private lateinit var channel: Channel
+    private lateinit var account: MemoryAccount
+    private lateinit var decoder: CallerDecoder
     private var incomingHead: HttpRequest? = null
     private var headReadAt: TimeMark = TimeSource.Monotonic.markNow()
-    private var body = ByteArrayOutputStream(0)
+    private var body = BodyBuffer()
+    private var isBodyDropped = false
+    private var droppedBytes = 0L
+    private var headCharge = 0L
+
+    /** Whether nothing is decoded and read. */
+    var isPaused = false
+        private set
     private var handlerJob: Job? = null
     private val pending = ArrayDeque<Pending>()
     private var isContinueExpected = false
@@ -65,7 +78,12 @@
 
     /** What was read and waits until the answers before it are complete. */
     private sealed interface Pending {
-        class Request(val call: HttpCall, val keepAlive: Boolean, val headReadAt: TimeMark) : Pending {
+        class Request(
+            val call: HttpCall,
+            val keepAlive: Boolean,
+            val headReadAt: TimeMark,
+            val chargedBytes: Long,
+        ) : Pending {
             val readAt = TimeSource.Monotonic.markNow()
         }
 
@@ -89,10 +107,52 @@
     /** Whether all that was sent has been taken by the system. */
     val isWritten: Boolean get() = lastWrite?.isDone ?: true
 
+    /** Whether what the caller sends is not read as requests any more. */
+    val isDropping: Boolean get() = isClosing || isEnding
+
     override fun handlerAdded(context: ChannelHandlerContext) {
         channel = context.channel()
+        decoder = context.pipeline().get(CallerDecoder::class.java)
         connections += this
         setTimer(limits.idleTimeout) { closeGracefully() }
+        account = memory.open(this)
+    }
+
+    /** Whether the next part of what was received may be decoded. If not, reading pauses. */
+    fun mayDecode(): Boolean {
+        val may = pending.size < MAXIMUM_PIPELINED && memory.mayRead(account)
+        if (!may && !isPaused) {
+            isPaused = true
+            channel.config().isAutoRead = false
+        }
+        return may
+    }
+
+    /** Goes on with what was received and not decoded, and with reading. */
+    fun resume() {
+        if (!isPaused || isClosing) return
+        isPaused = false
+        // A task, because the decoder may be the caller of this function.
+        channel.eventLoop().execute {
+            if (!channel.isActive || isPaused || isClosing) return@execute
+            channel.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER).fireChannelReadComplete()
+            // Only once all is decoded, since each read would add to what waits.
+            if (!isPaused && !isClosing) channel.config().isAutoRead = true
+        }
+    }
+
+    /** Charges [bytes] for a part of a request that is not complete. */
+    fun chargePartial(bytes: Long) {
+        account[MemoryUse.INCOMING] = if (incomingHead == null) bytes else bytes + incomingCharge()
+    }
+
+    private fun incomingCharge() = headCharge + MemoryBudget.estimateBody(body.allocatedBytes)
+
+    /** Refuses what is being received, since the process holds too much for its callers. */
+    fun refuseForMemory() = if (incomingHead != null && !isClosing) reject(UNAVAILABLE) else abort()
+
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        account[MemoryUse.UNDECODED] = MemoryBudget.estimateBuffer(decoder.undecodedBytes.toLong())
     }
 
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
@@ -106,7 +166,12 @@
     private fun onHead(request: HttpRequest) {
         incomingHead = request
         headReadAt = TimeSource.Monotonic.markNow()
-        body = ByteArrayOutputStream(0)
+        body = BodyBuffer()
+        headCharge = MemoryBudget.estimateHead(decoder.headBytes, request.headers().size())
+        isBodyDropped = !limits.isKeepingBodies || !handler.readsBody(request.uri(), request.headers())
+        droppedBytes = 0
+        memory.recordMoved(account, decoder.headBytes)
+        chargePartial(0)
         setTimer(limits.requestTimeout) { reject(REQUEST_TIMEOUT) }
         if (HttpUtil.getContentLength(request, 0L) > limits.maximumBodyBytes) return reject(BODY_TOO_LARGE)
         isContinueExpected = HttpUtil.is100ContinueExpected(request)
@@ -122,38 +187,78 @@
 
     private fun onContent(content: HttpContent) {
         val request = incomingHead ?: return
-        if (content.content().isReadable) {
-            if (body.size() + content.content().readableBytes() > limits.maximumBodyBytes) return reject(BODY_TOO_LARGE)
-            body.write(ByteBufUtil.getBytes(content.content()))
-        }
+        if (content.content().isReadable && !addToBody(content.content())) return reject(BODY_TOO_LARGE)
         if (content !is LastHttpContent) return
         incomingHead = null
+        account.hasCompleted = true
         timer?.cancel(false)
-        val call = HttpCall(request.method().name(), request.uri(), request.headers(), body.toByteArray())
-        pending.addLast(Pending.Request(call, HttpUtil.isKeepAlive(request), headReadAt))
-        if (pending.size >= MAXIMUM_PIPELINED) channel.config().isAutoRead = false
+        val bytes = body.toByteArray()
+        val isWithoutBody = isBodyDropped && droppedBytes > 0
+        val call = HttpCall(request.method().name(), request.uri(), request.headers(), bytes, isWithoutBody)
+        val charge = headCharge + MemoryBudget.estimateBody(bytes.size.toLong())
+        body = BodyBuffer()
+        account[MemoryUse.INCOMING] = 0
+        account[MemoryUse.QUEUED] += charge
+        pending.addLast(Pending.Request(call, HttpUtil.isKeepAlive(request), headReadAt, charge))
         handleNext()
     }
 
+    /** Returns false if the body is too large. */
+    private fun addToBody(content: ByteBuf): Boolean {
+        val count = content.readableBytes()
+        memory.recordMoved(account, count.toLong())
+        if (body.size + droppedBytes + count > limits.maximumBodyBytes) return false
+        if (isBodyDropped) {
+            droppedBytes += count
+        } else {
+            body.append(content)
+            chargePartial(0)
+        }
+        return true
+    }
+
     private fun handleNext() {
         if (handlerJob != null) return
+        // The answers to further requests would only wait behind those that the caller does not read.
+        if (pending.isNotEmpty() && !channel.isWritable && channel.isActive) return awaitReader()
         val next = pending.removeFirstOrNull()
-        if (pending.size < MAXIMUM_PIPELINED) channel.config().isAutoRead = true
         when (next) {
             null -> awaitRequest()
             is Pending.Request -> handle(next)
             is Pending.Rejected -> sendRejection(next.status)
         }
+        if (isPaused && !account.isPaused && pending.size < MAXIMUM_PIPELINED) resume()
     }
 
+    /** Closes the connection when the caller takes nothing of the answers that wait for it within the idle time. */
+    private fun awaitReader() {
+        // The time limit of a request that is being received goes on.
+        if (incomingHead != null) return
+        val mark = unreadMark()
+        setTimer(limits.idleTimeout) { if (unreadMark() == mark) abort() else awaitReader() }
+    }
+
+    /** Changes when the system takes bytes, also while it has not taken the first message whole. */
+    private fun unreadMark(): Long =
+        unwrittenBytes - (channel.unsafe().outboundBuffer()?.currentProgress() ?: 0L)
+
     /** Waits for the rest of a request, whose time limit goes on, or for the next one. */
     private fun awaitRequest() {
         if (incomingHead != null) return sendContinue()
-        setTimer(if (limits.isStopping) STOPPING_IDLE_TIME else limits.idleTimeout) { closeGracefully() }
+        val mark = unreadMark()
+        setTimer(if (limits.isStopping) STOPPING_IDLE_TIME else limits.idleTimeout) {
+            when {
+                isWritten || limits.isStopping -> closeGracefully()
+                unreadMark() == mark -> abort()
+                else -> awaitRequest()
+            }
+        }
     }
 
     private fun handle(request: Pending.Request) {
         keepAlive = request.keepAlive
+        account[MemoryUse.QUEUED] -= request.chargedBytes
+        account[MemoryUse.RUNNING] = request.chargedBytes
         val exchange = CallerExchange(request.call, this, request.headReadAt)
         val job = scope.launch { handler.handle(exchange) }
         handlerJob = job
@@ -168,13 +273,32 @@
         }
         val written = channel.writeAndFlush(message)
         lastWrite = written
+        watch(written)
         if (!isLast) return
         handlerJob = null
+        account[MemoryUse.RUNNING] = 0
         if (keepAlive) return handleNext()
         endReading()
+        if (!written.isDone) awaitReader()
         written.addListener { closeGracefully() }
     }
 
+    private fun watch(written: ChannelFuture) {
+        chargeUnwritten()
+        written.addListener {
+            if (!it.isSuccess && it.cause() is OutOfMemoryError) onFatal(it.cause())
+            chargeUnwritten()
+        }
+    }
+
+    private fun chargeUnwritten() {
+        val bytes = if (channel.isActive) unwrittenBytes else 0L
+        val charge = MemoryBudget.estimateBuffer(bytes)
+        val taken = account[MemoryUse.UNWRITTEN] - charge
+        if (taken > 0) memory.recordMoved(account, taken)
+        account[MemoryUse.UNWRITTEN] = charge
+    }
+
     /**
      * Whether the connection ends after the answer that is complete now, since the process stops. Not while another
      * request was read or is being received; and a stream does not tell, since requests may still arrive behind it.
@@ -188,7 +312,9 @@
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
-        if (channel.isWritable) endWait()
+        if (!channel.isWritable) return
+        endWait()
+        if (handlerJob == null && !isClosing && pending.isNotEmpty()) handleNext()
     }
 
     private fun endWait() {
@@ -223,6 +349,8 @@
         if (isClosing) return
         isClosing = true
         channel.config().isAutoRead = isReading
+        incomingHead = null
+        body = BodyBuffer()
         setTimer(LINGER_TIME) { channel.close() }
         (channel as SocketChannel).shutdownOutput().addListener { if (!it.isSuccess) channel.close() }
     }
@@ -231,6 +359,8 @@
     private fun endReading() {
         isEnding = true
         incomingHead = null
+        body = BodyBuffer()
+        account[MemoryUse.INCOMING] = 0
         timer?.cancel(false)
     }
 
@@ -247,6 +377,7 @@
             .set(HttpHeaderNames.CONTENT_LENGTH, 0)
             .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         lastWrite = channel.writeAndFlush(response).addListener { closeGracefully(isReading = true) }
+        if (!isWritten) awaitReader()
     }
 
     private fun setTimer(delay: Duration, action: () -> Unit) {
@@ -256,11 +387,13 @@
 
     @Deprecated("Netty calls this for every failure of a connection")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        if (cause is OutOfMemoryError) onFatal(cause)
         abort()
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
         reportUnanswered()
+        memory.close(account)
         isClosing = true
         timer?.cancel(false)
         connections -= this
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
@@ -54,6 +54,7 @@
     private val clock: MonotonicClock,
     private val onStrayBytes: () -> Unit,
     private val onIdle: (EndpointConnection) -> Unit,
+    private val onFatal: (Throwable) -> Unit = {},
 ) : SimpleChannelInboundHandler<HttpObject>() {
     private lateinit var channel: Channel
     private var parts: Parts<AnswerPart>? = null
@@ -98,6 +99,7 @@
         channel.pipeline().get(AnswerDecoder::class.java).isAnsweringHead = call.method == HttpMethod.HEAD.name()
         // A failed write closes the connection without an exception, which would look like the end of the answer.
         written = channel.writeAndFlush(request).addListener { sent ->
+            if (sent.cause() is OutOfMemoryError) onFatal(sent.cause())
             if (!sent.isSuccess) fail("the request was not sent whole: ${sent.cause()?.message}", isDisconnect = true)
         }
         return answer
@@ -218,6 +220,7 @@
 
     @Deprecated("Netty calls this for every failure of a connection")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        if (cause is OutOfMemoryError) onFatal(cause)
         fail("connection failed: ${cause.message}", isDisconnect = cause is IOException)
     }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnections.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnections.kt
@@ -97,7 +97,7 @@
     /** Tells whether a process accepts connections at [address], by opening one that carries no request. */
     suspend fun probe(address: String): ConnectionProbe {
         val target = parseSocketAddress(address) ?: return ConnectionProbe.UNANSWERED
-        val future = bootstrap(EndpointConnection(clock, ::countStrayBytes) { it.close() }).connect(target)
+        val future = bootstrap(EndpointConnection(clock, ::countStrayBytes, { it.close() }, loop.onFatal)).connect(target)
         openedCount++
         val channel = future.awaitChannel()
         channel?.close()
@@ -128,7 +128,7 @@
     private suspend fun connect(address: String): Either<Failure, EndpointConnection> {
         val target = parseSocketAddress(address)
             ?: return Failure(Step.CONNECT, Peer(address), Effect.NOT_RUN, "no IP address with a port").left()
-        val connection = EndpointConnection(clock, ::countStrayBytes) { addIdle(address, it) }
+        val connection = EndpointConnection(clock, ::countStrayBytes, { addIdle(address, it) }, loop.onFatal)
         val future = bootstrap(connection).connect(target)
         openedCount++
         val channel = future.awaitChannel()
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EventLoop.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EventLoop.kt
@@ -10,8 +10,10 @@
  *
  * The machines have one core, so that more threads would bring locks without parallelism. Coroutines share the thread
  * with the connections' reads and writes.
+ *
+ * @property onFatal ends the process, since memory was exhausted and what the thread owns may be incomplete
  */
-class EventLoop : AutoCloseable {
+class EventLoop(internal val onFatal: (Throwable) -> Unit = {}) : AutoCloseable {
     /** The event loop group for channels, with this thread only. */
     val group = NioEventLoopGroup(1)
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/HttpServer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/HttpServer.kt
@@ -1,12 +1,12 @@
 package org.nutmegspring.gateway.http
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.WriteBufferWaterMark
 import io.netty.channel.socket.nio.NioServerSocketChannel
-import io.netty.handler.codec.http.HttpMessage
-import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.HttpResponseEncoder
 import kotlinx.coroutines.CoroutineScope
 
@@ -45,26 +45,21 @@
     }
 }
 
-/**
- * Refuses a request with both `Content-Length` and `Transfer-Encoding: chunked`. Two readers may take different ends of
- * its body, which permits request smuggling.
- */
-private class StrictRequestDecoder(maximumHeaderBytes: Int) :
-    HttpRequestDecoder(MAXIMUM_LINE_BYTES, maximumHeaderBytes, MAXIMUM_CHUNK_BYTES) {
-    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) {
-        throw IllegalArgumentException("request has both Content-Length and Transfer-Encoding: chunked")
-    }
-
-    private companion object {
-        const val MAXIMUM_LINE_BYTES = 16_384
-        const val MAXIMUM_CHUNK_BYTES = 65_536
-    }
-}
+/** Listens as below, with a budget of memory for this server alone. */
+fun startHttpServer(
+    loop: EventLoop,
+    scope: CoroutineScope,
+    address: String,
+    limits: ServerLimits,
+    maximumHeaderBytes: Int,
+    handler: RequestHandler,
+): HttpServer = startHttpServer(loop, scope, address, limits, maximumHeaderBytes, handler, CallerMemory(loop))
 
 /**
  * Listens on [address] and runs [handler] in [scope] for each request.
  *
  * @param maximumHeaderBytes the maximum size of the headers of a request
+ * @param memory bounds what the callers of all servers on [loop] make the process hold
  */
 fun startHttpServer(
     loop: EventLoop,
@@ -73,6 +68,7 @@
     limits: ServerLimits,
     maximumHeaderBytes: Int,
     handler: RequestHandler,
+    memory: CallerMemory,
 ): HttpServer {
     val connections = LinkedHashSet<CallerConnection>()
     val bootstrap = ServerBootstrap()
@@ -81,17 +77,20 @@
         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.RCVBUF_ALLOCATOR, AdaptiveRecvByteBufAllocator(512, 2048, MAXIMUM_READ_BYTES))
+        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WriteBufferWaterMark(16 * 1024, 32 * 1024))
         .childHandler(object : ChannelInitializer<Channel>() {
             override fun initChannel(channel: Channel) {
-                channel.pipeline().addLast(
-                    StrictRequestDecoder(maximumHeaderBytes),
-                    HttpResponseEncoder(),
-                    CallerConnection(scope, limits, handler, connections),
-                )
+                val connection = CallerConnection(scope, limits, handler, connections, memory, loop.onFatal)
+                channel.pipeline()
+                    .addLast(CallerDecoder(maximumHeaderBytes, connection), HttpResponseEncoder(), connection)
             }
         })
     return HttpServer(bootstrap.bind(socketAddress(address)).sync().channel(), connections)
 }
 
+/** Bounds what is received beyond the part of a request that may be decoded. */
+private const val MAXIMUM_READ_BYTES = 16_384
+
 /** The length of the queue of connections to accept. When it is full, callers are delayed by seconds. */
 private const val ACCEPT_BACKLOG = 1024
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/ServerLimits.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/ServerLimits.kt
@@ -7,6 +7,9 @@
     /** The maximum size of a request body. */
     val maximumBodyBytes: Int
 
+    /** Whether bodies are read into memory. Otherwise they are dropped as they arrive. */
+    val isKeepingBodies: Boolean get() = true
+
     /** The maximum time from the head of a request until its body is complete. */
     val requestTimeout: Duration
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -26,11 +26,14 @@
 import org.nutmegspring.gateway.forwarding.ServiceRetries
 import org.nutmegspring.gateway.forwarding.StreamForwarder
 import org.nutmegspring.gateway.forwarding.UsageCounter
+import org.nutmegspring.gateway.http.CallerMemory
 import org.nutmegspring.gateway.http.EndpointConnections
 import org.nutmegspring.gateway.http.EventLoop
+import org.nutmegspring.gateway.http.EventLoopWatch
 import org.nutmegspring.gateway.http.HttpServer
 import org.nutmegspring.gateway.http.RequestHandler
 import org.nutmegspring.gateway.http.ServerLimits
+import org.nutmegspring.gateway.http.defaultMemoryBounds
 import org.nutmegspring.gateway.http.startHttpServer
 import org.nutmegspring.gateway.observe.DecisionEvent
 import org.nutmegspring.gateway.observe.DecisionLog
@@ -64,10 +67,17 @@
     initial: GatewaySettings,
     platformFactory: PlatformFactory,
     private val log: DecisionLog,
+    endProcess: (String) -> Unit,
 ) {
     private var settings = initial
-    private val loop = EventLoop()
+    private val loop = EventLoop { endProcess("the memory is exhausted: $it") }
+    private val loopWatch = EventLoopWatch(loop, endProcess)
+    private val callerMemory = CallerMemory(
+        loop,
+        defaultMemoryBounds(initial.memory.callerBytes, initial.memory.connections),
+    )
     private val failures = CoroutineExceptionHandler { _, cause ->
+        if (cause is OutOfMemoryError) endProcess("the memory is exhausted: $cause")
         log.record(DecisionEvent.Skipped("a task of the instance", cause.stackTraceToString()))
     }
     private val scope = CoroutineScope(loop.dispatcher + SupervisorJob() + failures)
@@ -195,16 +205,17 @@
         log.record(DecisionEvent.PhaseChanged("starting", "instance $self, incarnation $incarnation"))
         // Opens the exchange, which what the servers answer depends on.
         gauges.register(metrics)
+        callerMemory.budget.registerGauges(metrics)
         metrics.registerGauge("gateway_running_requests") { running.count.toDouble() }
-        startServer(settings.addresses.metrics, DefaultServerLimits, createMetricsHandler(metrics::scrape))
+        startServer(settings.addresses.metrics, BodilessServerLimits, createMetricsHandler(metrics::scrape))
         val keepSeconds = { minOf(ADDRESS_KEEP_SECONDS, settings.bounds.addressKeepSeconds ?: ADDRESS_KEEP_SECONDS) }
         startServer(
             settings.addresses.directory,
-            DefaultServerLimits,
+            BodilessServerLimits,
             createDirectoryHandler(platform.dialect, keepSeconds, ::listCallerTargets),
         )
         val readiness = createReadinessHandler(platform.dialect, ::isReady)
-        startServer(settings.addresses.readiness, DefaultServerLimits, readiness)
+        startServer(settings.addresses.readiness, BodilessServerLimits, readiness)
         val limits =
             CallerServerLimits({ currentConfiguration.configuration?.limits }, { phase == InstancePhase.DRAINING })
         // Last, so that no caller is accepted when another address cannot be opened.
@@ -215,6 +226,7 @@
         tasks.start("periodic") { runPeriodicTasks() }
         tasks.start("status") { logStatus() }
         duties.start(tasks)
+        loopWatch.start()
     }
 
     /** Applies changed settings. Servers keep their addresses, and the instance its id, until a restart. */
@@ -236,6 +248,7 @@
 
     /** Cancels all tasks and closes the event loop. */
     fun close() {
+        loopWatch.close()
         scope.cancel()
         loop.close()
     }
@@ -263,7 +276,7 @@
     }
 
     private fun startServer(address: String, limits: ServerLimits, handler: RequestHandler) {
-        servers += startHttpServer(loop, scope, address, limits, MAXIMUM_HEADER_BYTES, handler)
+        servers += startHttpServer(loop, scope, address, limits, MAXIMUM_HEADER_BYTES, handler, callerMemory)
     }
 
     private fun startFeeds() {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayStart.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayStart.kt
@@ -16,19 +16,22 @@
  * @throws java.net.BindException when an address is in use; nothing of the instance keeps running then
  */
 fun startGateway(settings: GatewaySettings, log: DecisionLog, platformFactory: PlatformFactory): GatewayInstance =
-    checkNotNull(startGateway(settings, log, platformFactory) { false })
+    checkNotNull(startGateway(settings, log, platformFactory, { false }))
 
 /**
  * Starts an instance as above, unless [isStopRequested] returns true just before it would listen. Returns null then,
  * and nothing of the instance keeps running.
+ *
+ * @param endProcess ends the process after a line with the reason, when memory is exhausted or the event loop hangs
  */
 fun startGateway(
     settings: GatewaySettings,
     log: DecisionLog,
     platformFactory: PlatformFactory,
     isStopRequested: () -> Boolean,
+    endProcess: (String) -> Unit = {},
 ): GatewayInstance? {
-    val instance = GatewayInstance(settings, platformFactory, log)
+    val instance = GatewayInstance(settings, platformFactory, log, endProcess)
     var isStarted = false
     try {
         if (isStopRequested()) return null
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/HttpServerLimits.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/HttpServerLimits.kt
@@ -21,7 +21,14 @@
     override val isStopping: Boolean get() = isInstanceStopping()
 }
 
-/** The limits of the other servers, and of the server for callers before the first configuration. */
+/** The limits of the servers for readiness, addresses and metrics, whose requests need no body. */
+internal object BodilessServerLimits : ServerLimits by DefaultServerLimits {
+    /** More than a request to these servers has, which may be refused for a body at once. */
+    override val maximumBodyBytes: Int = 16 * 1024
+    override val isKeepingBodies: Boolean = false
+}
+
+/** The limits of the server for callers before the first configuration. */
 internal object DefaultServerLimits : ServerLimits {
     override val maximumBodyBytes: Int = 4 * 1024 * 1024
     override val requestTimeout: Duration = 3.seconds
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
@@ -10,6 +10,7 @@
 import org.nutmegspring.gateway.peers.ExchangeTraffic
 import org.nutmegspring.gateway.peers.PeerTable
 import org.nutmegspring.gateway.store.FeedInquiry
+import org.nutmegspring.memory.MemoryBudget
 import org.nutmegspring.platform.StoreEra
 import org.nutmegspring.time.MonotonicClock
 import kotlin.time.DurationUnit
@@ -81,3 +82,13 @@
         const val MILLISECONDS_PER_SECOND = 1000.0
     }
 }
+
+/** Registers what callers make the instance hold with [metrics]. */
+internal fun MemoryBudget.registerGauges(metrics: GatewayMetrics) {
+    metrics.registerGauge("gateway_caller_held_bytes") { heldBytes.toDouble() }
+    metrics.registerGauge("gateway_caller_connections") { connectionCount.toDouble() }
+    metrics.registerGauge("gateway_caller_paused_connections") { pausedCount.toDouble() }
+    metrics.registerGauge("gateway_caller_pauses") { pauseCount.toDouble() }
+    metrics.registerGauge("gateway_callers_refused_for_memory") { refusedCount.toDouble() }
+    metrics.registerGauge("gateway_callers_closed_for_memory") { closedCount.toDouble() }
+}
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/settings/GatewaySettings.kt
@@ -14,6 +14,7 @@
     val platform: PlatformSettings,
     val bounds: BoundSettings,
     val logs: LogLineSettings = LogLineSettings(),
+    val memory: MemorySettings = MemorySettings(),
 )
 
 /** The identity of the instance. */
@@ -109,3 +110,12 @@
     /** The maximum number of log lines per second. */
     val linesPerSecond: Int = 200,
 )
+
+/** What callers may make the instance hold. */
+@Serializable
+data class MemorySettings(
+    /** The estimated bytes that all connections of callers may hold together, null for three eighths of the heap. */
+    val callerBytes: Long? = null,
+    /** The connections of callers that may be open, null for a number that the heap and the descriptors allow. */
+    val connections: Int? = null,
+)
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/settings/GatewaySettingsLoader.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/settings/GatewaySettingsLoader.kt
@@ -54,6 +54,8 @@
                 "bounds.leaseMilliseconds" to leaseMilliseconds?.toDouble(),
                 "bounds.addressKeepSeconds" to addressKeepSeconds?.toDouble(),
                 "logs.linesPerSecond" to settings.logs.linesPerSecond.toDouble(),
+                "memory.callerBytes" to settings.memory.callerBytes?.toDouble(),
+                "memory.connections" to settings.memory.connections?.toDouble(),
             )
         }
         return addresses.filterNot { ADDRESS.matches(it.second) }
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/http/LeftoverBytesSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/http/LeftoverBytesSpec.kt
@@ -28,7 +28,7 @@
         /** How often the connection was closed for bytes that belong to no request. */
         var strayBytes = 0
             private set
-        private val connection = EndpointConnection(systemMonotonicClock(), { strayBytes++ }) { isPooled = true }
+        private val connection = EndpointConnection(systemMonotonicClock(), { strayBytes++ }, { isPooled = true })
         private val channel = EmbeddedChannel().apply { pipeline().addAnswerHandlers(connection) }
 
         /** The parts that request 2 received, or null if the connection was not used for it. */
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/http/TruncatedHeadSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/http/TruncatedHeadSpec.kt
@@ -101,7 +101,7 @@
         }
 
         private fun receiveByteByByte(): List<AnswerPart> {
-            val connection = EndpointConnection(systemMonotonicClock(), { }) { }
+            val connection = EndpointConnection(systemMonotonicClock(), { }, { })
             val channel = EmbeddedChannel().apply { pipeline().addAnswerHandlers(connection) }
             val parts = connection.send(call) { true }
             generateSequence { channel.readOutbound<Any>() }.forEach { ReferenceCountUtil.release(it) }
