Give the numbers of the callers' servers names

Cause: the linter found numbers without names, a function with too many parameters and two long lines.

Change: named constants; CallerMemory brings its event loop.

--- a/command-line/src/test/kotlin/org/nutmegspring/commandline/process/CallersOutsideLimitsSpec.kt
+++ b/command-line/src/test/kotlin/org/nutmegspring/commandline/process/CallersOutsideLimitsSpec.kt
@@ -83,7 +83,11 @@
         val memory = running.peakMemoryMebibytes
         if (memory > MEMORY_BOUND_MEBIBYTES) add("$memory MiB")
         val isAnswered = isAnswered(ANSWER_LIMIT)
-        if (!running.isAlive) add("the process has ended") else if (!isAnswered) add("no answer")
+        if (!running.isAlive) {
+            add("the process has ended")
+        } else if (!isAnswered) {
+            add("no answer")
+        }
     }
 
     /** Whether the process is ready and answers an ordinary request. */
@@ -114,9 +118,13 @@
             val bytes = if (number % 5 == 0) BODY else BODY.copyOf(BODY.size - 1)
             val socket = connect()
             when (number % 3) {
-                0 -> socket.sendLengthAnd(aim) { sendInPieces(bytes, bytes.size) }
+                0 -> {
+                    socket.sendLengthAnd(aim) { sendInPieces(bytes, bytes.size) }
+                }
 
-                1 -> socket.sendLengthAnd(aim) { sendInPieces(bytes, SMALL_PIECE) }
+                1 -> {
+                    socket.sendLengthAnd(aim) { sendInPieces(bytes, SMALL_PIECE) }
+                }
 
                 else -> {
                     socket.send("${aim.head("POST")}Transfer-Encoding: chunked\r\n\r\n")
@@ -154,9 +162,13 @@
             val socket = connect()
             val head = aim.head("GET") + SHORT_FIELDS
             when (number % 4) {
-                0, 1 -> repeat(HEADS) { socket.send("$head\r\n") }
+                0, 1 -> {
+                    repeat(HEADS) { socket.send("$head\r\n") }
+                }
 
-                2 -> socket.send(head)
+                2 -> {
+                    socket.send(head)
+                }
 
                 else -> {
                     socket.send("${aim.head("POST")}Transfer-Encoding: chunked\r\n\r\n")
@@ -170,7 +182,10 @@
     @Nested
     inner class `requests sent ahead` {
         @Test
-        fun `on connections whose answers are not read leave the process sound`() = check(150, 6.seconds) { number, aim ->
+        fun `on connections whose answers are not read leave the process sound`() = check(150, 6.seconds) {
+            number,
+            aim,
+            ->
             val socket = connect()
             val head = if (number % 3 == 0) "GET ${aim.target} HTTP/1.1\r\n" else aim.head("GET")
             val requests = "$head\r\n".repeat(REQUESTS_AHEAD)
@@ -189,9 +204,13 @@
                     nowAndThen { if (head.hasNext()) socket.send(head.next().toString()) }
                 }
 
-                1 -> socket.send(aim.head("GET"))
+                1 -> {
+                    socket.send(aim.head("GET"))
+                }
 
-                2 -> socket.send("${aim.head("POST")}Content-Length: 900000\r\n\r\n$CHUNK")
+                2 -> {
+                    socket.send("${aim.head("POST")}Content-Length: 900000\r\n\r\n$CHUNK")
+                }
 
                 3 -> {
                     socket.send("${aim.head("POST")}Content-Length: 900000\r\n\r\n")
--- a/decisions/src/test/kotlin/org/nutmegspring/memory/MemoryBudgetSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/memory/MemoryBudgetSpec.kt
@@ -15,7 +15,13 @@
     private val start = MonotonicTime(0)
     private val budget = MemoryBudget(MemoryBounds(4_000_000, maximumConnections = 100))
 
-    private fun open(use: MemoryUse? = null, bytes: Long = 0) = budget.open(start).also { if (use != null) it[use] = bytes }
+    private fun open(use: MemoryUse? = null, bytes: Long = 0) = budget.open(start).also {
+        if (use !=
+            null
+        ) {
+            it[use] = bytes
+        }
+    }
 
     /** Opens connections that use up all but the reserve. */
     private fun fill(use: MemoryUse = MemoryUse.INCOMING) = List(3) { open(use, 1_000_000) }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerDecoder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerDecoder.kt
@@ -7,8 +7,8 @@
 import org.nutmegspring.memory.MemoryBudget
 
 /**
- * Decodes requests one part at a time, and only while [connection] takes more. What was received beyond stays undecoded,
- * since many short requests or fields need a hundred times their bytes once they are decoded.
+ * Decodes requests one part at a time, and only while [connection] takes more. What was received beyond stays
+ * undecoded, since many short requests or fields need many times their bytes once they are decoded.
  *
  * Refuses a request with both `Content-Length` and `Transfer-Encoding: chunked`. Two readers may take different ends of
  * its body, which permits request smuggling.
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerMemory.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/CallerMemory.kt
@@ -13,7 +13,7 @@
 
 /** Applies a [MemoryBudget] to the connections of all servers on [loop]. */
 class CallerMemory(
-    private val loop: EventLoop,
+    internal val loop: EventLoop,
     bounds: MemoryBounds = defaultMemoryBounds(),
     private val clock: MonotonicClock = systemMonotonicClock(),
 ) {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnections.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnections.kt
@@ -97,7 +97,11 @@
     /** Tells whether a process accepts connections at [address], by opening one that carries no request. */
     suspend fun probe(address: String): ConnectionProbe {
         val target = parseSocketAddress(address) ?: return ConnectionProbe.UNANSWERED
-        val future = bootstrap(EndpointConnection(clock, ::countStrayBytes, { it.close() }, loop.onFatal)).connect(target)
+        val future = bootstrap(
+            EndpointConnection(clock, ::countStrayBytes, {
+                it.close()
+            }, loop.onFatal),
+        ).connect(target)
         openedCount++
         val channel = future.awaitChannel()
         channel?.close()
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/HttpServer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/HttpServer.kt
@@ -53,23 +53,23 @@
     limits: ServerLimits,
     maximumHeaderBytes: Int,
     handler: RequestHandler,
-): HttpServer = startHttpServer(loop, scope, address, limits, maximumHeaderBytes, handler, CallerMemory(loop))
+): HttpServer = startHttpServer(CallerMemory(loop), scope, address, limits, maximumHeaderBytes, handler)
 
 /**
  * Listens on [address] and runs [handler] in [scope] for each request.
  *
+ * @param memory bounds what the callers of all servers on its loop make the process hold
  * @param maximumHeaderBytes the maximum size of the headers of a request
- * @param memory bounds what the callers of all servers on [loop] make the process hold
  */
 fun startHttpServer(
-    loop: EventLoop,
+    memory: CallerMemory,
     scope: CoroutineScope,
     address: String,
     limits: ServerLimits,
     maximumHeaderBytes: Int,
     handler: RequestHandler,
-    memory: CallerMemory,
 ): HttpServer {
+    val loop = memory.loop
     val connections = LinkedHashSet<CallerConnection>()
     val bootstrap = ServerBootstrap()
         .group(loop.group)
@@ -77,8 +77,14 @@
         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
-        .childOption(ChannelOption.RCVBUF_ALLOCATOR, AdaptiveRecvByteBufAllocator(512, 2048, MAXIMUM_READ_BYTES))
-        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WriteBufferWaterMark(16 * 1024, 32 * 1024))
+        .childOption(
+            ChannelOption.RCVBUF_ALLOCATOR,
+            AdaptiveRecvByteBufAllocator(MINIMUM_READ_BYTES, FIRST_READ_BYTES, MAXIMUM_READ_BYTES),
+        )
+        .childOption(
+            ChannelOption.WRITE_BUFFER_WATER_MARK,
+            WriteBufferWaterMark(RESUMING_UNREAD_BYTES, MAXIMUM_UNREAD_BYTES),
+        )
         .childHandler(object : ChannelInitializer<Channel>() {
             override fun initChannel(channel: Channel) {
                 val connection = CallerConnection(scope, limits, handler, connections, memory, loop.onFatal)
@@ -89,6 +95,12 @@
     return HttpServer(bootstrap.bind(socketAddress(address)).sync().channel(), connections)
 }
 
+/** As many bytes of answers wait for a caller before its next request is handled, and before a stream goes on. */
+private const val MAXIMUM_UNREAD_BYTES = 32 * 1024
+private const val RESUMING_UNREAD_BYTES = 16 * 1024
+private const val MINIMUM_READ_BYTES = 512
+private const val FIRST_READ_BYTES = 2048
+
 /** Bounds what is received beyond the part of a request that may be decoded. */
 private const val MAXIMUM_READ_BYTES = 16_384
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -276,7 +276,7 @@
     }
 
     private fun startServer(address: String, limits: ServerLimits, handler: RequestHandler) {
-        servers += startHttpServer(loop, scope, address, limits, MAXIMUM_HEADER_BYTES, handler, callerMemory)
+        servers += startHttpServer(callerMemory, scope, address, limits, MAXIMUM_HEADER_BYTES, handler)
     }
 
     private fun startFeeds() {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/settings/GatewaySettings.kt
@@ -53,8 +53,8 @@
 /**
  * Bounds agreed with the operators. Each name states the unit.
  *
- * A nullable bound may have no value: the deployment does not have it, and what depends on it is off. The key itself must
- * be there, so that a file that is read while it is being written is not taken for a whole one.
+ * A nullable bound may have no value: the deployment does not have it, and what depends on it is off. The key itself
+ * must be there, so that a file that is read while it is being written is not taken for a whole one.
  */
 @Serializable
 data class BoundSettings(
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/http/CallerMemorySpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/http/CallerMemorySpec.kt
@@ -40,7 +40,7 @@
 
         override fun readsBody(target: String, headers: HttpHeaders) = target != "/dropped"
     }
-    private val server = startHttpServer(loop, scope, "127.0.0.1:0", limits, 32_768, handler, memory)
+    private val server = startHttpServer(memory, scope, "127.0.0.1:0", limits, 32_768, handler)
     private val sockets = ArrayList<Socket>()
 
     @AfterEach
@@ -59,7 +59,13 @@
 
     private fun InputStream.readAnswer(): String {
         val head = StringBuilder()
-        while (!head.endsWith("\r\n\r\n")) head.append(read().also { check(it >= 0) { "closed after '$head'" } }.toChar())
+        while (!head.endsWith("\r\n\r\n")) {
+            head.append(
+                read().also {
+                    check(it >= 0) { "closed after '$head'" }
+                }.toChar(),
+            )
+        }
         val length = Regex("content-length: (\\d+)", RegexOption.IGNORE_CASE).find(head)!!.groupValues[1].toInt()
         return readNBytes(length).decodeToString()
     }
