--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/HttpServer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/HttpServer.kt
@@ -1,12 +1,12 @@
 package org.nutmegspring.gateway.http
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.WriteBufferWaterMark
 import io.netty.channel.socket.nio.NioServerSocketChannel
-import io.netty.handler.codec.http.HttpMessage
-import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.HttpResponseEncoder
 import kotlinx.coroutines.CoroutineScope
 
@@ -45,35 +45,31 @@
     }
 }
 
-/**
- * Refuses a request with both `Content-Length` and `Transfer-Encoding: chunked`. Two readers may take different ends of
- * its body, which permits request smuggling.
- */
-private class StrictRequestDecoder(maximumHeaderBytes: Int) :
-    HttpRequestDecoder(MAXIMUM_LINE_BYTES, maximumHeaderBytes, MAXIMUM_CHUNK_BYTES) {
-    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) {
-        throw IllegalArgumentException("request has both Content-Length and Transfer-Encoding: chunked")
-    }
-
-    private companion object {
-        const val MAXIMUM_LINE_BYTES = 16_384
-        const val MAXIMUM_CHUNK_BYTES = 65_536
-    }
-}
+/** Listens as below, with a budget of memory for this server alone. */
+fun startHttpServer(
+    loop: EventLoop,
+    scope: CoroutineScope,
+    address: String,
+    limits: ServerLimits,
+    maximumHeaderBytes: Int,
+    handler: RequestHandler,
+): HttpServer = startHttpServer(CallerMemory(loop), scope, address, limits, maximumHeaderBytes, handler)
 
 /**
  * Listens on [address] and runs [handler] in [scope] for each request.
  *
+ * @param memory bounds what the callers of all servers on its loop make the process hold
  * @param maximumHeaderBytes the maximum size of the headers of a request
  */
 fun startHttpServer(
-    loop: EventLoop,
+    memory: CallerMemory,
     scope: CoroutineScope,
     address: String,
     limits: ServerLimits,
     maximumHeaderBytes: Int,
     handler: RequestHandler,
 ): HttpServer {
+    val loop = memory.loop
     val connections = LinkedHashSet<CallerConnection>()
     val bootstrap = ServerBootstrap()
         .group(loop.group)
@@ -81,17 +77,32 @@
         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(
+            ChannelOption.RCVBUF_ALLOCATOR,
+            AdaptiveRecvByteBufAllocator(MINIMUM_READ_BYTES, FIRST_READ_BYTES, MAXIMUM_READ_BYTES),
+        )
+        .childOption(
+            ChannelOption.WRITE_BUFFER_WATER_MARK,
+            WriteBufferWaterMark(RESUMING_UNREAD_BYTES, MAXIMUM_UNREAD_BYTES),
+        )
         .childHandler(object : ChannelInitializer<Channel>() {
             override fun initChannel(channel: Channel) {
-                channel.pipeline().addLast(
-                    StrictRequestDecoder(maximumHeaderBytes),
-                    HttpResponseEncoder(),
-                    CallerConnection(scope, limits, handler, connections),
-                )
+                val connection = CallerConnection(scope, limits, handler, connections, memory, loop.onFatal)
+                channel.pipeline()
+                    .addLast(CallerDecoder(maximumHeaderBytes, connection), HttpResponseEncoder(), connection)
             }
         })
     return HttpServer(bootstrap.bind(socketAddress(address)).sync().channel(), connections)
 }
 
+/** As many bytes of answers wait for a caller before its next request is handled, and before a stream goes on. */
+private const val MAXIMUM_UNREAD_BYTES = 32 * 1024
+private const val RESUMING_UNREAD_BYTES = 16 * 1024
+private const val MINIMUM_READ_BYTES = 512
+private const val FIRST_READ_BYTES = 2048
+
+/** Bounds what is received beyond the part of a request that may be decoded. */
+private const val MAXIMUM_READ_BYTES = 16_384
+
 /** The length of the queue of connections to accept. When it is full, callers are delayed by seconds. */
 private const val ACCEPT_BACKLOG = 1024
