Send late requests behind others, and give refused callers turns

Cause: the priority of late requests and the turns of refused callers were decided, but not used.

Change: RequestRun finds the priority when it creates a dispatch, from the time since the request was received and the expected first output; Dispatch.urgency is now Dispatch.priority. StreamForwarder books the return of a caller that it refuses for the queues (ReturnTurns).

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
@@ -1,5 +1,6 @@
 package org.nutmegspring.gateway.forwarding
 
+import org.nutmegspring.endpoint.EngineRole
 import org.nutmegspring.failure.Effect
 import org.nutmegspring.failure.Failure
 import org.nutmegspring.failure.Step
@@ -65,6 +66,12 @@
     /** Returns how long it takes until the limit of an engine permits [run], null if no limit stands in the way. */
     fun timeUntilTurn(run: RequestRun): Duration? = endpoints.timeUntilTurn(run.admitted.service, clock.now())
 
+    /** Returns the number of engines that prefill prompts such as that of [run]. */
+    fun countPrefillEngines(run: RequestRun): Int {
+        val roles = endpoints.findUsable(run.admitted.service, clock.now()).groupingBy { it.endpoint.role }.eachCount()
+        return roles[EngineRole.PREFILL] ?: roles.values.sum()
+    }
+
     /** Requests the prefill if [plan] is a handover, and returns where to send the request next. */
     suspend fun prepare(run: RequestRun, plan: EnginePlan): Preparation {
         run.pendingHandover?.let { return prepareDecode(run, it) }
@@ -170,7 +177,9 @@
         val attempt =
             EngineAttempt(clock, prefillEngine, plan.expectedFirstOutputMilliseconds.milliseconds, uncachedTokens)
         try {
-            val prefilled = attempt.awaitWhileResponsive(run::timeLeft) { readPrefilled(run, prefillEngine, attempt) }
+            val prefilled = attempt.awaitWhileResponsive(run::timeLeft) {
+                readPrefilled(run, prefillEngine, attempt, plan)
+            }
             if (prefilled != null) {
                 prefillEngine.recordSuccess()
                 run.trace.prefilledMilliseconds = run.elapsedMilliseconds()
@@ -191,8 +200,10 @@
         run: RequestRun,
         prefillEngine: EndpointState,
         attempt: EngineAttempt,
+        plan: EnginePlan,
     ): PrefilledPrompt? {
-        val dispatch = run.createDispatch(prefillEngine, DispatchStage.Prefill, null)
+        val expected = plan.expectedFirstOutputMilliseconds.milliseconds
+        val dispatch = run.createDispatch(prefillEngine, DispatchStage.Prefill, null, expected)
         return when (val started = sender.send(run.exchange.call, dispatch, canReuse = true)) {
             is AttemptStart.Failed -> {
                 if (started.refusal != null) {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -12,6 +12,7 @@
 import org.nutmegspring.gateway.http.withoutHopByHopHeaders
 import org.nutmegspring.gateway.observe.BodyFraming
 import org.nutmegspring.gateway.observe.Interruption
+import org.nutmegspring.gateway.wire.DispatchStage
 import org.nutmegspring.placement.EnginePlan
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -30,6 +31,7 @@
     private val usage: UsageCounter,
     private val limit: QueueWaitLimit,
     private val crashGuard: CrashGuard,
+    private val returns: ReturnTurns,
 ) {
     /** Serves [run]. */
     suspend fun serve(run: RequestRun): RunEnd {
@@ -108,8 +110,14 @@
             callerTimeout = run.firstOutputTimeLeft(),
         )
         return when (decision) {
-            QueueWaitDecision.Send -> null
-            is QueueWaitDecision.Refuse -> RunEnd.NotRun("the first output would be late", decision.retryAfter)
+            QueueWaitDecision.Send -> {
+                null
+            }
+
+            is QueueWaitDecision.Refuse -> {
+                val retryAfter = returns.book(run, plan, decision.retryAfter, choice.countPrefillEngines(run))
+                RunEnd.NotRun("the first output would be late", retryAfter)
+            }
         }
     }
 
@@ -161,7 +169,9 @@
         var answering: AttemptStart.Answering? = null
         try {
             val started = awaitWithin(run.timeLeft()) {
-                val dispatch = run.createDispatch(engine, prepared.stage, progress.lastEvent)
+                val isPrefilled = prepared.stage is DispatchStage.Generate
+                val expected = if (isPrefilled) Duration.ZERO else prepared.expectedFirstOutput
+                val dispatch = run.createDispatch(engine, prepared.stage, progress.lastEvent, expected)
                 sender.send(run.exchange.call, dispatch, canReuse = true).also {
                     if (it is AttemptStart.Answering) answering = it
                 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -21,6 +21,7 @@
 import org.nutmegspring.gateway.forwarding.GatewayHandler
 import org.nutmegspring.gateway.forwarding.QuotaTable
 import org.nutmegspring.gateway.forwarding.RequestRecorder
+import org.nutmegspring.gateway.forwarding.ReturnTurns
 import org.nutmegspring.gateway.forwarding.RunningRequests
 import org.nutmegspring.gateway.forwarding.ServiceForwarder
 import org.nutmegspring.gateway.forwarding.ServiceRetries
@@ -125,7 +126,15 @@
             initial.instance.dataCentre,
             clock,
         ),
-        StreamForwarder(engineChoice, sender, retries, usage, QueueWaitLimit(), crashGuard),
+        StreamForwarder(
+            engineChoice,
+            sender,
+            retries,
+            usage,
+            QueueWaitLimit(),
+            crashGuard,
+            ReturnTurns(clock) { peers.registered.size + 1 },
+        ),
     )
     private var phase = InstancePhase.JOINING
     private val servers = mutableListOf<HttpServer>()
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/wire/RequestFacts.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/wire/RequestFacts.kt
@@ -55,13 +55,14 @@
  * How a request is sent to an endpoint.
  *
  * @property timeLeft the time limit of the endpoint
+ * @property priority the order in which engines admit requests, 0 first
  * @property lastEvent the last event that the caller received, when a stream is resumed
  */
 data class Dispatch(
     val endpoint: ServingEndpoint,
     val timeLeft: Duration,
     val organisation: OrganisationId?,
-    val urgency: Int,
+    val priority: Int,
     val stage: DispatchStage,
     val lastEvent: String?,
 )
