Send no new work to an endpoint that states that it is leaving

Cause: endpoints state Server-Leaving: 1 in an answer before their entry says so; nothing read it. Change: the dialect reads the header, also with the platform's prefix; a value that is neither 1 nor 0 is ignored with one log line. The instance that got the answer sends no new work, orders and calls that free prompts to that process. A process is known by its id, address and birth, so that an entry that is removed and written again does not end this; another process at the address does. Tested: AnswerRestraintSpec fails when the header is not recorded (200 where 503 is expected). HeaderDialectSpec reads both names. EndpointLimitSpec, EndpointTableSpec, RoleOrdererSpec and GatewaySpec pass as before.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/RoleOrderer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/RoleOrderer.kt
@@ -56,7 +56,7 @@
     private suspend fun sendChanges(serviceEndpoints: List<EndpointState>) {
         val engines = serviceEndpoints.filter {
             it.endpoint.role != null && it.endpoint.state == ListedState.LIVE &&
-                endpoints.permits(it.endpoint.dataCentre)
+                endpoints.permitsCalls(it.endpoint)
         }
         if (engines.isEmpty() || !isListStable(engines)) return
         if (isGrowing(engines.first().endpoint.service)) return
@@ -98,7 +98,7 @@
 
     private suspend fun sendOrder(engine: EndpointState, change: RoleChange) {
         val isAccepted =
-            endpoints.permits(engine.endpoint.dataCentre) &&
+            endpoints.permitsCalls(engine.endpoint) &&
                 caller.call("role", "${change.engine} to ${roleName(change.role)}") { holder, timeout ->
                     orderRole(engine.endpoint, change.role, holder, timeout)
                 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointTable.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointTable.kt
@@ -36,11 +36,13 @@
  * The endpoints that the platform's store lists, with what this instance knows of each.
  *
  * @param permits whether endpoints in a data centre may get anything from this instance; not while it is evacuated
+ * @param timeUntilWork returns how long an endpoint gets no work because it asked for that, maybe infinite
  */
 class EndpointTable(
     private val cacheCapacity: (ServiceId) -> Long,
     private val turns: InstanceTurns,
     val permits: (DataCentreId) -> Boolean = { true },
+    private val timeUntilWork: (ServingEndpoint) -> Duration = { Duration.ZERO },
     private val onChange: (ServingEndpoint, EndpointChange) -> Unit,
 ) {
     private val states = LinkedHashMap<EndpointId, EndpointState>()
@@ -74,15 +76,22 @@
         excluded: Set<EndpointId> = emptySet(),
     ): List<EndpointState> {
         val live = findLive(service, now).filter {
-            it.endpoint.id !in excluded && it.limit.timeUntilTurn(turns) == Duration.ZERO
+            it.endpoint.id !in excluded && timeUntilRequest(it) == Duration.ZERO
         }
         val permitted = live.filter { it.health.canSend(now) }.ifEmpty { live }
         return permitted.filter { !it.isAvoided(now) }.ifEmpty { permitted }
     }
 
-    /** Returns how long it takes until the limit of some endpoint of [service] permits a request, null without one. */
+    /** Returns how long it takes until some endpoint of [service] permits a request, null if none holds it back. */
     fun timeUntilTurn(service: ServiceId, now: MonotonicTime): Duration? =
-        findLive(service, now).minOfOrNull { it.limit.timeUntilTurn(turns) }?.takeIf { it > Duration.ZERO }
+        findLive(service, now).minOfOrNull(::timeUntilRequest)?.takeIf { it > Duration.ZERO && it.isFinite() }
+
+    /** Whether [endpoint] may get calls that are no work, such as orders. */
+    fun permitsCalls(endpoint: ServingEndpoint): Boolean =
+        permits(endpoint.dataCentre) && timeUntilWork(endpoint) == Duration.ZERO
+
+    private fun timeUntilRequest(state: EndpointState): Duration =
+        maxOf(state.limit.timeUntilTurn(turns), timeUntilWork(state.endpoint))
 
     /** Counts a request that is about to be sent to [id]. Returns false if the limit of the endpoint permits none. */
     fun tryAcquire(id: EndpointId): Boolean = states[id]?.limit?.tryAcquire(turns) ?: true
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
@@ -7,6 +7,7 @@
 import org.nutmegspring.failure.Failure
 import org.nutmegspring.failure.Peer
 import org.nutmegspring.failure.Step
+import org.nutmegspring.gateway.endpoints.EndpointRestraints
 import org.nutmegspring.gateway.endpoints.EndpointState
 import org.nutmegspring.gateway.http.AnswerPart
 import org.nutmegspring.gateway.http.EndpointConnections
@@ -17,6 +18,7 @@
 import org.nutmegspring.gateway.wire.Dispatch
 import org.nutmegspring.gateway.wire.ServingDialect
 import org.nutmegspring.time.MonotonicTime
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** The head of an endpoint's answer to a request. */
@@ -52,7 +54,7 @@
     /** Another endpoint has the address. */
     OTHER_ENDPOINT,
 
-    /** The limit that it named permits no request now, so none was sent. */
+    /** What it asked for in an answer permits no request now, so none was sent. */
     LIMITED,
 }
 
@@ -77,11 +79,13 @@
     private val connections: EndpointConnections,
     private val dialect: ServingDialect,
     private val limits: EndpointLimits,
+    private val restraints: EndpointRestraints,
 ) {
     /** Sends the caller's [call] according to [dispatch]. */
     suspend fun send(call: HttpCall, dispatch: Dispatch, canReuse: Boolean): AttemptStart {
         val address = dispatch.endpoint.address
-        if (!limits.tryAcquire(dispatch.endpoint.id)) return limited(dispatch)
+        val isHeldBack = restraints.timeUntilWork(dispatch.endpoint) > Duration.ZERO
+        if (isHeldBack || !limits.tryAcquire(dispatch.endpoint.id)) return limited(dispatch)
         val sentAt = limits.now()
         val headers = dialect.endpointHeaders(call.headers, dispatch)
         val id = dialect.readRequest(headers).id
@@ -105,6 +109,7 @@
                 is AnswerPart.Head -> {
                     val head = AnswerHead(part.status, part.headers, dialect.readAnswer(part.status, part.headers))
                     limits.recordAnswer(dispatch.endpoint.id, head.facts, sentAt)
+                    restraints.recordAnswer(dispatch.endpoint, head.facts)
                     if (head.facts.hasNotRun || head.facts.isOtherEndpoint) {
                         drain(answer)
                         refused(dispatch, head)
@@ -136,7 +141,7 @@
     }
 
     private fun limited(dispatch: Dispatch): AttemptStart.Failed {
-        val reason = "the limit of the endpoint permits no request"
+        val reason = "the endpoint asked for no request now"
         val failure = Failure(Step.CHOOSE_ENDPOINT, peer(dispatch), Effect.NOT_RUN, reason)
         return AttemptStart.Failed(failure, EndpointRefusal.LIMITED)
     }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
@@ -128,7 +128,7 @@
     /** Frees the prompt of [handover], unless its engine may get no requests; then the engine frees it in time. */
     private suspend fun free(handover: PendingHandover) {
         val engine = handover.prefillEngine
-        if (endpoints.permits(engine.endpoint.dataCentre)) sender.free(engine, handover.handle)
+        if (endpoints.permitsCalls(engine.endpoint)) sender.free(engine, handover.handle)
     }
 
     /** Records that [prepared] failed, [refusal] when it stated that it did not run the request. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -10,6 +10,7 @@
 import org.nutmegspring.evacuation.EvacuationState
 import org.nutmegspring.gateway.endpoints.EndpointChange
 import org.nutmegspring.gateway.endpoints.EndpointListCurrency
+import org.nutmegspring.gateway.endpoints.EndpointRestraints
 import org.nutmegspring.gateway.endpoints.EndpointTable
 import org.nutmegspring.gateway.endpoints.InstanceTurns
 import org.nutmegspring.gateway.forwarding.Admission
@@ -101,7 +102,13 @@
 
     /** Null where the settings had no bound for evacuations at the start. */
     private val evacuations = initial.bounds.evacuationMilliseconds?.let { EvacuationState(it.milliseconds) }
-    private val endpoints = EndpointTable(::findCacheCapacity, turns, ::permits) { endpoint, change ->
+    private val restraints = EndpointRestraints(log)
+    private val endpoints = EndpointTable(
+        ::findCacheCapacity,
+        turns,
+        ::permits,
+        restraints::timeUntilWork,
+    ) { endpoint, change ->
         if (change == EndpointChange.APPEARED || change == EndpointChange.GONE) connections.closeIdle(endpoint.address)
         log.record(DecisionEvent.EndpointChanged(endpoint, change))
     }
@@ -111,7 +118,7 @@
     private val counts = WindowCounts(initial.bounds.usageWindow.inWholeMilliseconds)
     private val usage = UsageCounter(counts)
     private val limits = EndpointLimits(endpoints, clock, log)
-    private val sender = EndpointSender(connections, platform.dialect, limits)
+    private val sender = EndpointSender(connections, platform.dialect, limits, restraints)
     private val retries = ServiceRetries(clock, { settings.bounds.toRetryBounds() }) { peers.registered.size + 1 }
     private val engineChoice =
         EngineChoice(endpoints, sender, platform.dialect, retries, initial.instance.dataCentre, clock)
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
@@ -180,6 +180,21 @@
         )
     }
 
+    /** An endpoint asked in an answer for no new work. */
+    class EndpointRestrained(
+        private val endpoint: EndpointId,
+        private val asked: String,
+        private val pause: Duration?,
+    ) : DecisionEvent {
+        override val name: String get() = "endpoint restrained"
+
+        override fun fields(): Map<String, Any?> = mapOf(
+            "endpoint" to endpoint.value,
+            "asked" to asked,
+            "pauseMilliseconds" to pause?.inWholeMilliseconds,
+        )
+    }
+
     /** The endpoint table changed. */
     class EndpointChanged(
         private val endpoint: ServingEndpoint,
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/wire/RequestFacts.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/wire/RequestFacts.kt
@@ -73,6 +73,8 @@
  * @property hasNotRun whether the endpoint states that it did not run the request
  * @property isOtherEndpoint whether another endpoint has the address now; the request did not run there
  * @property requestsPerSecond the limit that the endpoint names for all instances together, null without one
+ * @property isLeaving whether the endpoint states that it is leaving and takes no new work
+ * @property unreadable the headers whose values could not be read and are ignored, with the values
  */
 data class AnswerFacts(
     val requestId: RequestId?,
@@ -80,6 +82,8 @@
     val hasNotRun: Boolean,
     val isOtherEndpoint: Boolean,
     val requestsPerSecond: Double? = null,
+    val isLeaving: Boolean = false,
+    val unreadable: List<String> = emptyList(),
 )
 
 /** A prompt that an engine has prefilled and holds for another engine. */
