Pause at an endpoint that refuses a request and states Retry-After

Cause: an endpoint that answers 503 with Retry-After got further requests at once, and many when it was free again. Tested: AnswerRestraintSpec and HeaderDialectSpec fail when the header is not read; AnswerRestraintSpec and two tests of EndpointPauseSpec fail when more than one request is sent after the pause. GatewaySpec, EndpointLimitSpec, RepeatedRefusalSpec and CrashingPromptPartSpec pass as before.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
@@ -83,14 +83,33 @@
 ) {
     /** Sends the caller's [call] according to [dispatch]. */
     suspend fun send(call: HttpCall, dispatch: Dispatch, canReuse: Boolean): AttemptStart {
-        val address = dispatch.endpoint.address
         val isHeldBack = restraints.timeUntilWork(dispatch.endpoint) > Duration.ZERO
         if (isHeldBack || !limits.tryAcquire(dispatch.endpoint.id)) return limited(dispatch)
+        restraints.recordRequest(dispatch.endpoint)
         val sentAt = limits.now()
+        var start: AttemptStart? = null
+        try {
+            return open(call, dispatch, canReuse, sentAt).also { start = it }
+        } finally {
+            // Also when the caller leaves: the request after a pause then has no outcome, and another one is sent.
+            val isSuccess = (start as? AttemptStart.Answering)?.head?.isSuccess ?: false
+            restraints.recordOutcome(dispatch.endpoint, isSuccess, sentAt)
+        }
+    }
+
+    private suspend fun open(
+        call: HttpCall,
+        dispatch: Dispatch,
+        canReuse: Boolean,
+        sentAt: MonotonicTime,
+    ): AttemptStart {
         val headers = dialect.endpointHeaders(call.headers, dispatch)
         val id = dialect.readRequest(headers).id
         val sent = HttpCall(call.method, call.target, headers, call.body)
-        val opened = connections.open(address, sent, canReuse) { dialect.readAnswer(0, it).requestId == id }
+        val opened = connections.open(dispatch.endpoint.address, sent, canReuse) {
+            dialect.readAnswer(0, it).requestId ==
+                id
+        }
         return opened.fold(
             { AttemptStart.Failed(it) },
             { answer -> readHead(answer, dispatch, sentAt) },
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -102,7 +102,7 @@
 
     /** Null where the settings had no bound for evacuations at the start. */
     private val evacuations = initial.bounds.evacuationMilliseconds?.let { EvacuationState(it.milliseconds) }
-    private val restraints = EndpointRestraints(log)
+    private val restraints = EndpointRestraints(clock, log)
     private val endpoints = EndpointTable(
         ::findCacheCapacity,
         turns,
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/observe/DecisionEvent.kt
@@ -180,7 +180,7 @@
         )
     }
 
-    /** An endpoint asked in an answer for no new work. */
+    /** An endpoint asked in an answer for no new work, or for none within [pause]. */
     class EndpointRestrained(
         private val endpoint: EndpointId,
         private val asked: String,
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/wire/RequestFacts.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/wire/RequestFacts.kt
@@ -74,6 +74,7 @@
  * @property isOtherEndpoint whether another endpoint has the address now; the request did not run there
  * @property requestsPerSecond the limit that the endpoint names for all instances together, null without one
  * @property isLeaving whether the endpoint states that it is leaving and takes no new work
+ * @property retryAfter how long nothing may be sent to the endpoint, null unless it refused the request and stated it
  * @property unreadable the headers whose values could not be read and are ignored, with the values
  */
 data class AnswerFacts(
@@ -83,6 +84,7 @@
     val isOtherEndpoint: Boolean,
     val requestsPerSecond: Double? = null,
     val isLeaving: Boolean = false,
+    val retryAfter: Duration? = null,
     val unreadable: List<String> = emptyList(),
 )
 
