--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/RoleOrderer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/RoleOrderer.kt
@@ -102,7 +102,7 @@
             return
         }
         val isAccepted =
-            endpoints.permits(engine.endpoint.dataCentre) &&
+            endpoints.permitsCalls(engine.endpoint) &&
                 caller.call("role", "${change.engine} to ${roleName(change.role)}") { holder, timeout ->
                     orderRole(engine.endpoint, change.role, holder, timeout)
                 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
@@ -7,6 +7,7 @@
 import org.nutmegspring.failure.Failure
 import org.nutmegspring.failure.Peer
 import org.nutmegspring.failure.Step
+import org.nutmegspring.gateway.endpoints.EndpointRestraints
 import org.nutmegspring.gateway.endpoints.EndpointState
 import org.nutmegspring.gateway.http.AnswerPart
 import org.nutmegspring.gateway.http.EndpointConnections
@@ -17,6 +18,7 @@
 import org.nutmegspring.gateway.wire.Dispatch
 import org.nutmegspring.gateway.wire.ServingDialect
 import org.nutmegspring.time.MonotonicTime
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** The head of an endpoint's answer to a request. */
@@ -56,7 +58,7 @@
     /** Another endpoint has the address. */
     OTHER_ENDPOINT,
 
-    /** The limit that it named permits no request now, so none was sent. */
+    /** What it asked for in an answer permits no request now, so none was sent. */
     LIMITED,
 }
 
@@ -81,16 +83,37 @@
     private val connections: EndpointConnections,
     private val dialect: ServingDialect,
     private val limits: EndpointLimits,
+    private val restraints: EndpointRestraints,
 ) {
     /** Sends the caller's [call] according to [dispatch]. */
     suspend fun send(call: HttpCall, dispatch: Dispatch, canReuse: Boolean): AttemptStart {
-        val address = dispatch.endpoint.address
-        if (!limits.tryAcquire(dispatch.endpoint.id)) return limited(dispatch)
+        val isHeldBack = restraints.timeUntilWork(dispatch.endpoint) > Duration.ZERO
+        if (isHeldBack || !limits.tryAcquire(dispatch.endpoint.id)) return limited(dispatch)
+        restraints.recordRequest(dispatch.endpoint)
         val sentAt = limits.now()
+        var start: AttemptStart? = null
+        try {
+            return open(call, dispatch, canReuse, sentAt).also { start = it }
+        } finally {
+            // Also when the caller leaves: the request after a pause then has no outcome, and another one is sent.
+            val isSuccess = (start as? AttemptStart.Answering)?.head?.isSuccess ?: false
+            restraints.recordOutcome(dispatch.endpoint, isSuccess, sentAt)
+        }
+    }
+
+    private suspend fun open(
+        call: HttpCall,
+        dispatch: Dispatch,
+        canReuse: Boolean,
+        sentAt: MonotonicTime,
+    ): AttemptStart {
         val headers = dialect.endpointHeaders(call.headers, dispatch)
         val id = dialect.readRequest(headers).id
         val sent = HttpCall(call.method, call.target, headers, call.body)
-        val opened = connections.open(address, sent, canReuse) { dialect.readAnswer(0, it).requestId == id }
+        val opened = connections.open(dispatch.endpoint.address, sent, canReuse) {
+            dialect.readAnswer(0, it).requestId ==
+                id
+        }
         return opened.fold(
             { AttemptStart.Failed(it) },
             { answer -> readHead(answer, dispatch, sentAt) },
@@ -110,6 +133,7 @@
                 is AnswerPart.Head -> {
                     val head = AnswerHead(part.status, part.headers, dialect.readAnswer(part.status, part.headers))
                     limits.recordAnswer(dispatch.endpoint.id, head.facts, sentAt)
+                    restraints.recordAnswer(dispatch.endpoint, head.facts)
                     if (head.facts.hasNotRun || head.facts.isOtherEndpoint) {
                         drain(answer)
                         refused(dispatch, head)
@@ -141,7 +165,7 @@
     }
 
     private fun limited(dispatch: Dispatch): AttemptStart.Failed {
-        val reason = "the limit of the endpoint permits no request"
+        val reason = "the endpoint asked for no request now"
         val failure = Failure(Step.CHOOSE_ENDPOINT, peer(dispatch), Effect.NOT_RUN, reason)
         return AttemptStart.Failed(failure, EndpointRefusal.LIMITED)
     }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -13,6 +13,7 @@
 import org.nutmegspring.gateway.endpoints.EndpointChange
 import org.nutmegspring.gateway.endpoints.EndpointErrors
 import org.nutmegspring.gateway.endpoints.EndpointListCurrency
+import org.nutmegspring.gateway.endpoints.EndpointRestraints
 import org.nutmegspring.gateway.endpoints.EndpointTable
 import org.nutmegspring.gateway.endpoints.InstanceTurns
 import org.nutmegspring.gateway.forwarding.Admission
@@ -121,7 +122,14 @@
     /** Null where the settings had no bound for evacuations at the start. */
     private val evacuations = initial.bounds.evacuationMilliseconds?.let { EvacuationState(it.milliseconds) }
     private val cold = ColdEndpoints(clock, ::findColdPolicy) { peers.isListed }
-    private val endpoints = EndpointTable(::findCacheCapacity, turns, ::permits, cold) { endpoint, change ->
+    private val restraints = EndpointRestraints(clock, log)
+    private val endpoints = EndpointTable(
+        ::findCacheCapacity,
+        turns,
+        ::permits,
+        cold,
+        restraints::timeUntilWork,
+    ) { endpoint, change ->
         if (change == EndpointChange.APPEARED || change == EndpointChange.GONE) {
             connections.closeIdle(endpoint.address)
             errors.forget(endpoint)
@@ -134,7 +142,7 @@
     private val counts = WindowCounts(initial.bounds.usageWindow.inWholeMilliseconds)
     private val usage = UsageCounter(counts)
     private val limits = EndpointLimits(endpoints, clock, cold, log)
-    private val sender = EndpointSender(connections, platform.dialect, limits)
+    private val sender = EndpointSender(connections, platform.dialect, limits, restraints)
     private val retries = ServiceRetries(clock, { settings.bounds.toRetryBounds() }) { peers.registered.size + 1 }
     private val pacing = ReportPacing(initial.instance.linkMegabitsPerSecond ?: DEFAULT_LINK_MEGABITS_PER_SECOND)
     private val engineChoice =
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/wire/RequestFacts.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/wire/RequestFacts.kt
@@ -76,6 +76,9 @@
  * @property requestsPerSecond the limit that the endpoint names for all instances together, null without one
  * @property load what the endpoint tells of its load
  * @property remainingColdTime how long the endpoint stays cold, zero if it is not, null when it does not tell
+ * @property isLeaving whether the endpoint states that it is leaving and takes no new work
+ * @property retryAfter how long nothing may be sent to the endpoint, null unless it refused the request and stated it
+ * @property unreadable the headers whose values could not be read and are ignored, with the values
  */
 data class AnswerFacts(
     val requestId: RequestId?,
@@ -85,6 +88,9 @@
     val requestsPerSecond: Double? = null,
     val load: LoadStatement = LoadStatement.None,
     val remainingColdTime: Duration? = null,
+    val isLeaving: Boolean = false,
+    val retryAfter: Duration? = null,
+    val unreadable: List<String> = emptyList(),
 )
 
 /** What an endpoint tells of its load in an answer. */
