Test that a dead or hanging event loop is told

Cause: the watch that ends a process without its event loop had no test.

Change: the step of the watch is a parameter; EventLoopWatchSpec has a loop that has ended and one that hangs. Verified: both pass, as do CallerMemorySpec, HttpServerSpec and RequestsBehindAnotherSpec (30 tests); mvn -DskipTests verify is clean.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EventLoopWatch.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EventLoopWatch.kt
@@ -3,14 +3,21 @@
 import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Calls [onDead] when the thread of [loop] has ended or answers nothing, because a process that lives without it serves
  * nobody and is not restarted.
  *
- * Time is counted in steps of its own thread, so that a process that was stopped or had no processor time is not ended.
+ * Time is counted in steps of [step] of its own thread, so that a process that was stopped or had no processor time is
+ * not ended.
  */
-class EventLoopWatch(private val loop: EventLoop, private val onDead: (String) -> Unit) : AutoCloseable {
+class EventLoopWatch(
+    private val loop: EventLoop,
+    private val step: Duration = DEFAULT_STEP,
+    private val onDead: (String) -> Unit,
+) : AutoCloseable {
     private val unanswered = AtomicInteger()
 
     @Volatile
@@ -21,7 +28,7 @@
         thread(isDaemon = true, name = "event-loop-watch") {
             while (!isOver) {
                 check()
-                Thread.sleep(STEP_MILLISECONDS)
+                Thread.sleep(step.inWholeMilliseconds)
             }
         }
     }
@@ -45,9 +52,9 @@
     }
 
     private companion object {
-        const val STEP_MILLISECONDS = 500L
+        val DEFAULT_STEP = 500.milliseconds
 
-        /** 15 s: several times the longest pause of a collector or a frozen core, and the idle time of callers. */
+        /** 15 s at the default step, longer than pauses of the collector or of a starved processor core. */
         const val MAXIMUM_UNANSWERED = 30
     }
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -71,7 +71,7 @@
 ) {
     private var settings = initial
     private val loop = EventLoop { endProcess("the memory is exhausted: $it") }
-    private val loopWatch = EventLoopWatch(loop, endProcess)
+    private val loopWatch = EventLoopWatch(loop, onDead = endProcess)
     private val callerMemory = CallerMemory(
         loop,
         defaultMemoryBounds(initial.memory.callerBytes, initial.memory.connections),
