--- a/decisions/src/test/kotlin/org/nutmegspring/admission/BurstReplaySpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/admission/BurstReplaySpec.kt
@@ -15,8 +15,8 @@
  * Replays bursts of docs/design/uneven-load.md, part 7: 168 requests in a second where 60 are usual, from 60 instances
  * to engines that admit by priority. Instances know the queues as they were at the last report, and their own requests
  * since. In each burst an engine falls silent, and its requests are sent again after [SILENCE]. Refused callers return
- * when they are told to, and give up after [PATIENCE]. A response is on time within its objective since the caller last
- * sent the request. Times are in milliseconds.
+ * when they are told to, and give up after [PATIENCE]. A response is on time within its objective since it was last sent
+ * by the caller. Times are in milliseconds.
  */
 class BurstReplaySpec {
     private class Kind(val urgency: Int, val ownTokens: Int, val objective: Double, val share: Double)
