--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/configuration/ServingConfiguration.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/configuration/ServingConfiguration.kt
@@ -1,6 +1,5 @@
 package org.nutmegspring.gateway.configuration
 
-import org.nutmegspring.admission.DispatchPriority
 import org.nutmegspring.identity.OrganisationId
 import org.nutmegspring.identity.ServiceId
 import org.nutmegspring.quota.QuotaRate
@@ -164,16 +163,9 @@
         .groupBy({ it.first }, { it.second })
         .mapValues { (_, objectives) -> objectives.min() }
 
-    private val priorities = routes.flatMap { route -> route.services.map { it.service to route.urgency } }
-        .groupBy({ it.first }, { it.second })
-        .mapValues { (_, urgencies) -> DispatchPriority(urgencies + organisations.mapNotNull { it.urgency }) }
-
     /** Returns the shortest objective of the streaming routes to [service], infinite when there are none. */
     fun shortestStreamObjective(service: ServiceId): Duration = shortestObjectives[service] ?: Duration.INFINITE
 
-    /** Returns how the requests to [service] are ordered. An organisation may use any route with its own urgency. */
-    fun dispatchPriority(service: ServiceId): DispatchPriority = priorities[service] ?: NO_PRIORITIES
-
     /** Whether requests to routes that are not public need an API key. */
     val isKeyRequired: Boolean get() = organisations.isNotEmpty()
 
@@ -190,8 +182,4 @@
 
     /** Returns the organisation to which [key] belongs, or null when the key is unknown. */
     fun findOrganisation(key: ApiKey): OrganisationDefinition? = organisationsByKey[key]
-
-    private companion object {
-        val NO_PRIORITIES = DispatchPriority(emptyList())
-    }
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/EngineChoice.kt
@@ -1,6 +1,5 @@
 package org.nutmegspring.gateway.forwarding
 
-import org.nutmegspring.endpoint.EngineRole
 import org.nutmegspring.failure.Effect
 import org.nutmegspring.failure.Failure
 import org.nutmegspring.failure.Step
@@ -71,12 +70,6 @@
     fun createUnplacedEnd(run: RequestRun, reason: String, pause: Duration): RunEnd.NotRun =
         endpoints.createUnplacedEnd(run.admitted.service, clock.now(), reason, pause)
 
-    /** Returns the number of engines that prefill prompts such as that of [run]. */
-    fun countPrefillEngines(run: RequestRun): Int {
-        val roles = endpoints.findUsable(run.admitted.service, clock.now()).groupingBy { it.endpoint.role }.eachCount()
-        return roles[EngineRole.PREFILL] ?: roles.values.sum()
-    }
-
     /** Requests the prefill if [plan] is a handover, and returns where to send the request next. */
     suspend fun prepare(run: RequestRun, plan: EnginePlan): Preparation {
         run.pendingHandover?.let { return prepareDecode(run, it) }
@@ -188,9 +181,7 @@
         val attempt =
             EngineAttempt(clock, prefillEngine, plan.expectedFirstOutputMilliseconds.milliseconds, uncachedTokens)
         try {
-            val prefilled = attempt.awaitWhileResponsive(run::timeLeft) {
-                readPrefilled(run, prefillEngine, attempt, plan)
-            }
+            val prefilled = attempt.awaitWhileResponsive(run::timeLeft) { readPrefilled(run, prefillEngine, attempt) }
             if (prefilled != null) {
                 prefillEngine.recordSuccess()
                 run.trace.prefilledMilliseconds = run.elapsedMilliseconds()
@@ -211,10 +202,8 @@
         run: RequestRun,
         prefillEngine: EndpointState,
         attempt: EngineAttempt,
-        plan: EnginePlan,
     ): PrefilledPrompt? {
-        val expected = plan.expectedFirstOutputMilliseconds.milliseconds
-        val dispatch = run.createDispatch(prefillEngine, DispatchStage.Prefill, null, expected)
+        val dispatch = run.createDispatch(prefillEngine, DispatchStage.Prefill, null)
         return when (val started = sender.send(run.exchange.call, dispatch, canReuse = true)) {
             is AttemptStart.Failed -> {
                 if (started.refusal != null) {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/RequestRun.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/RequestRun.kt
@@ -1,7 +1,6 @@
 package org.nutmegspring.gateway.forwarding
 
 import kotlinx.coroutines.withTimeoutOrNull
-import org.nutmegspring.admission.DispatchPriority
 import org.nutmegspring.failure.Effect
 import org.nutmegspring.failure.Failure
 import org.nutmegspring.failure.Peer
@@ -98,27 +97,16 @@
         return isAllowed && trace.endpoints.size < admitted.route.maximumAttempts && timeLeft() > MINIMUM_RETRY_TIME
     }
 
-    /** Creates the dispatch to [endpoint], whose first output is expected after [expectedFirstOutput], if known. */
-    fun createDispatch(
-        endpoint: EndpointState,
-        stage: DispatchStage,
-        lastEvent: String?,
-        expectedFirstOutput: Duration = Duration.ZERO,
-    ) = Dispatch(
+    /** Creates the dispatch of the request to [endpoint]. */
+    fun createDispatch(endpoint: EndpointState, stage: DispatchStage, lastEvent: String?) = Dispatch(
         endpoint = endpoint.endpoint,
         timeLeft = (timeLeft() - readDelay).coerceAtLeast(Duration.ZERO),
         organisation = admitted.organisation?.id,
-        priority = findPriority(expectedFirstOutput),
+        urgency = admitted.urgency,
         stage = stage,
         lastEvent = lastEvent,
     )
 
-    private fun findPriority(expectedFirstOutput: Duration): Int {
-        val elapsed = clock.now() - startedAt + readDelay
-        val isLate = DispatchPriority.isLate(elapsed, expectedFirstOutput, admitted.route.objective)
-        return admitted.configuration.dispatchPriority(admitted.service).find(admitted.urgency, isLate)
-    }
-
     /** Records that the attempt at [endpoint] failed, with [interruption] if the endpoint cut off its answer. */
     fun recordFailure(endpoint: EndpointState, failure: Failure, interruption: Interruption? = null) {
         if (failure.effect == Effect.UNKNOWN) mayHaveRun = true
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -13,7 +13,6 @@
 import org.nutmegspring.gateway.http.withoutHopByHopHeaders
 import org.nutmegspring.gateway.observe.BodyFraming
 import org.nutmegspring.gateway.observe.Interruption
-import org.nutmegspring.gateway.wire.DispatchStage
 import org.nutmegspring.placement.EnginePlan
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -34,7 +33,6 @@
     private val crashGuard: CrashGuard,
     private val errors: EndpointErrors,
     private val demand: DemandCounter,
-    private val returns: ReturnTurns,
 ) {
     /** Serves [run]. */
     suspend fun serve(run: RequestRun): RunEnd {
@@ -121,14 +119,8 @@
             callerTimeout = run.firstOutputTimeLeft(),
         )
         return when (decision) {
-            QueueWaitDecision.Send -> {
-                null
-            }
-
-            is QueueWaitDecision.Refuse -> {
-                val retryAfter = returns.book(run, plan, decision.retryAfter, choice.countPrefillEngines(run))
-                RunEnd.NotRun("the first output would be late", retryAfter)
-            }
+            QueueWaitDecision.Send -> null
+            is QueueWaitDecision.Refuse -> RunEnd.NotRun("the first output would be late", decision.retryAfter)
         }
     }
 
@@ -180,9 +172,7 @@
         var answering: AttemptStart.Answering? = null
         try {
             val started = awaitWithin(run.timeLeft()) {
-                val isPrefilled = prepared.stage is DispatchStage.Generate
-                val expected = if (isPrefilled) Duration.ZERO else prepared.expectedFirstOutput
-                val dispatch = run.createDispatch(engine, prepared.stage, progress.lastEvent, expected)
+                val dispatch = run.createDispatch(engine, prepared.stage, progress.lastEvent)
                 sender.send(run.exchange.call, dispatch, canReuse = true).also {
                     if (it is AttemptStart.Answering) answering = it
                 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -27,7 +27,6 @@
 import org.nutmegspring.gateway.forwarding.GatewayHandler
 import org.nutmegspring.gateway.forwarding.QuotaTable
 import org.nutmegspring.gateway.forwarding.RequestRecorder
-import org.nutmegspring.gateway.forwarding.ReturnTurns
 import org.nutmegspring.gateway.forwarding.RunningRequests
 import org.nutmegspring.gateway.forwarding.ServiceForwarder
 import org.nutmegspring.gateway.forwarding.ServiceRetries
@@ -173,7 +172,6 @@
             crashGuard,
             errors,
             demandCounter,
-            ReturnTurns(clock) { peers.registered.size + 1 },
         ),
     )
     private var phase = InstancePhase.JOINING
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/wire/RequestFacts.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/wire/RequestFacts.kt
@@ -55,14 +55,13 @@
  * How a request is sent to an endpoint.
  *
  * @property timeLeft the time limit of the endpoint
- * @property priority the order in which engines admit requests, 0 first
  * @property lastEvent the last event that the caller received, when a stream is resumed
  */
 data class Dispatch(
     val endpoint: ServingEndpoint,
     val timeLeft: Duration,
     val organisation: OrganisationId?,
-    val priority: Int,
+    val urgency: Int,
     val stage: DispatchStage,
     val lastEvent: String?,
 )
