Order the whole range of endpoints unless the settings ask for less

Change: spending.followsDemand in the settings, false by default, switches it on. Without it no demand is reported, and the whole range is ordered as before.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -151,7 +151,8 @@
     private val crashGuard =
         CrashGuard(EngineProbes(connections, ::permits, limits::tryContact), clock, log) { exchange.interval }
     private val demandCounter = DemandCounter()
-    private val demands = FleetDemands(incarnation, demandCounter, ::listServices, { peers.registered.size + 1 }, clock)
+    private val demands =
+        FleetDemands(incarnation, demandCounter, ::listSizedServices, { peers.registered.size + 1 }, clock)
     private val running = RunningRequests(
         ServiceForwarder(
             endpoints,
@@ -241,6 +242,8 @@
 
     private fun listServices() = currentConfiguration.configuration?.services?.values.orEmpty()
 
+    private fun listSizedServices() = if (settings.spending.followsDemand) listServices() else emptyList()
+
     private fun composeReports(): List<AddressedReport> = composer.compose(phase, exchange.interval)
 
     private fun findCacheCapacity(service: ServiceId): Long =
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/settings/GatewaySettings.kt
@@ -15,6 +15,7 @@
     val bounds: BoundSettings,
     val logs: LogLineSettings = LogLineSettings(),
     val memory: MemorySettings = MemorySettings(),
+    val spending: SpendingSettings = SpendingSettings(),
 )
 
 /** The identity of the instance. */
@@ -119,3 +120,13 @@
     /** The connections of callers that may be open, null for a number that the heap and the descriptors allow. */
     val connections: Int? = null,
 )
+
+/** How endpoints are ordered. */
+@Serializable
+data class SpendingSettings(
+    /**
+     * Whether the numbers of endpoints follow the demand where the configuration has prices; the whole range is ordered
+     * otherwise. Days of less than a minute save nothing by it, and endpoints that are released lose their caches.
+     */
+    val followsDemand: Boolean = false,
+)
