Take an answer whose status line is not one of HTTP for unreadable

What callers saw: with status 000 or 099 nothing until their deadlines, then 504; with 600 that status; with 0200 a whole answer. The endpoint did not count as failing.

Cause: the decoder of the HTTP library takes any number for a status, and any name and blanks around it. All below 200 were skipped as interim answers, so that the answer to come never came. `serve` took 600 to 999 and a doubled blank, and its store client read 0200 as 200.

Why it works: a head waits until it is complete and its lines are checked before it is decoded, by one rule for the gateway and `serve` (`HeadLines`): HTTP/1.0 or 1.1, one blank, three digits from 100 to 599. A malformed one ends the attempt at once as any unreadable answer: its outcome is unknown, the endpoint is counted as failing, and what may be repeated goes elsewhere. 101, which nothing asks for, is unreadable too. The store client of `serve` reads with the engine that has this rule.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
@@ -143,6 +143,10 @@
                 fail("unreadable answer: a status line within the head")
             }
 
+            status == SWITCHING_PROTOCOLS -> {
+                fail("unreadable answer: a change of the protocol that was not asked for")
+            }
+
             status < FIRST_FINAL_STATUS -> {
                 startSkipping()
             }
@@ -235,6 +239,7 @@
     }
 
     private companion object {
+        const val SWITCHING_PROTOCOLS = 101
         const val FIRST_FINAL_STATUS = 200
 
         /** Interim answers and late answers to earlier requests are few and short. */
--- a/node/src/main/kotlin/org/nutmegspring/node/http/AnswerHead.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/http/AnswerHead.kt
@@ -63,16 +63,16 @@
 }
 
 private suspend fun ByteReadChannel.readHeadLines(): ByteArray {
-    val lines = Buffer()
-    while (true) {
+    val bytes = Buffer()
+    val lines = HeadLines()
+    while (!lines.isComplete) {
         val line = readWholeLine()
-        if (line.isEmpty()) break
-        lines.write(line)
-        lines.write(LINE_END)
-        if (lines.size > MAXIMUM_HEAD_BYTES) throw ProtocolException("the head of the answer is too long")
+        lines.add(line)?.let { throw ProtocolException(it) }
+        bytes.write(line)
+        bytes.write(LINE_END)
+        if (bytes.size > MAXIMUM_HEAD_BYTES) throw ProtocolException("the head of the answer is too long")
     }
-    lines.write(LINE_END)
-    return lines.readByteArray()
+    return bytes.readByteArray()
 }
 
 /** Reads a line without its end, CRLF or LF, which must have arrived. */
--- /dev/null
+++ b/node/src/test/kotlin/org/nutmegspring/node/http/MalformedStoreAnswerSpec.kt
@@ -0,0 +1,36 @@
+package org.nutmegspring.node.http
+
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.nutmegspring.platform.ObjectKey
+import org.nutmegspring.storeclient.createHttpPlatform
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+// Guards `serve` against answers of the store whose heads a lenient reading turns into others.
+class MalformedStoreAnswerSpec {
+    private val server = CuttingServer()
+    private val store = createHttpPlatform(server.address, engine = SocketEngine)
+
+    @AfterEach
+    fun close() {
+        store.close()
+        server.close()
+    }
+
+    /** Returns those of [heads] after which an empty list or a missing object was read. */
+    private fun findRead(heads: List<String>): List<String> = heads.filter { head ->
+        server.answerWith(listOf("$head\n\n[]".replace("\n", "\r\n").toByteArray(Charsets.ISO_8859_1)))
+        runBlocking { store.list(ObjectKey("a")).isRight() || store.read(ObjectKey("a")).isRight() }
+    }
+
+    @Test
+    fun `a status that HTTP does not have is a failure`() = assertEquals(
+        emptyList(),
+        findRead(
+            listOf("000", "099", "600", "999", "0200", "+200", "20", "2000").map {
+                "HTTP/1.1 $it Odd\nContent-Length: 2"
+            },
+        ),
+    )
+}
--- a/store-client/src/main/kotlin/org/nutmegspring/storeclient/Platform.kt
+++ b/store-client/src/main/kotlin/org/nutmegspring/storeclient/Platform.kt
@@ -4,6 +4,7 @@
 import arrow.core.left
 import arrow.core.right
 import io.ktor.client.HttpClient
+import io.ktor.client.engine.HttpClientEngineFactory
 import io.ktor.client.engine.cio.CIO
 import io.ktor.client.plugins.HttpTimeout
 import io.ktor.client.plugins.timeout
@@ -52,14 +53,24 @@
 /**
  * Creates an HTTP client of the platform at [address], `host:port`. Each call waits at most [timeout]; a watch waits
  * that much longer than its own timeout.
+ *
+ * @param engine sends the requests and reads the answers
  */
-fun createHttpPlatform(address: String, timeout: Duration = DEFAULT_TIMEOUT): Platform = HttpPlatform(address, timeout)
+fun createHttpPlatform(
+    address: String,
+    timeout: Duration = DEFAULT_TIMEOUT,
+    engine: HttpClientEngineFactory<*> = CIO,
+): Platform = HttpPlatform(address, timeout, engine)
 
 private val DEFAULT_TIMEOUT = 3.seconds
 
-private class HttpPlatform(address: String, private val callTimeout: Duration) : Platform {
+private class HttpPlatform(
+    address: String,
+    private val callTimeout: Duration,
+    engine: HttpClientEngineFactory<*>,
+) : Platform {
     private val base = "http://$address"
-    private val client = HttpClient(CIO) {
+    private val client = HttpClient(engine) {
         expectSuccess = false
         install(HttpTimeout) { connectTimeoutMillis = callTimeout.inWholeMilliseconds }
     }
