Take a head with a line that is no field for unreadable

What callers saw: an answer with a line whose field name held a blank or a tab was delivered, with that line passed on under another name; "Content-Length x: 3" cut the body, and "Transfer-Encoding: gzip, chunked" gave a body without the encoding that decodes it.

Cause: the decoder of the HTTP library ends a name at a blank, so that the rest of the line is lost and the name may become one that frames the body.

Why it works: each line is a name of token characters, a colon and a text without control bytes, or the head is unreadable. The rule stands where heads are read and knows no names. A continued line begins with a blank and is unreadable as well. Chunks are the only encoding that is read.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/AnswerDecoder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/AnswerDecoder.kt
@@ -7,6 +7,8 @@
 import io.netty.channel.ChannelPipeline
 import io.netty.handler.codec.DecoderResult
 import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
@@ -26,7 +28,7 @@
 /**
  * Decodes answers. A line that is not complete yet stays in its buffer, also after the end of an answer.
  *
- * The decoder of Netty reads heads leniently: a status may be any number. Each
+ * The decoder of Netty reads heads leniently: a status may be any number, and the name of a field ends at a blank. Each
  * head is therefore checked by [HeadLines] before it is decoded, and waits in the buffer until it is complete.
  */
 internal class AnswerDecoder : HttpResponseDecoder() {
@@ -97,6 +99,10 @@
         out += refused
     }
 
+    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) {
+        throw IllegalArgumentException("answer has both Content-Length and Transfer-Encoding: chunked")
+    }
+
     private companion object {
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val LINE_FEED = '\n'.code.toByte()
@@ -125,6 +131,10 @@
 internal fun HttpResponse.hasInnerStatusLine(): Boolean = isWithStatusLine(status().reasonPhrase()) ||
     headers().any { (name, value) -> isWithStatusLine(name) || isWithStatusLine(value) }
 
+/** Whether `Transfer-Encoding` names anything but chunks. The body would be passed on without what decodes it. */
+internal fun HttpResponse.hasUnknownEncoding(): Boolean = headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
+    .let { it.isNotEmpty() && !it.joinToString().equals(HttpHeaderValues.CHUNKED.toString(), ignoreCase = true) }
+
 private fun isWithStatusLine(text: String): Boolean = VERSION in text && STATUS_LINE in text
 
 private const val VERSION = "HTTP/1."
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
@@ -147,6 +147,10 @@
                 fail("unreadable answer: a change of the protocol that was not asked for")
             }
 
+            response.hasUnknownEncoding() -> {
+                fail("unreadable answer: an encoding of the body other than chunks")
+            }
+
             status < FIRST_FINAL_STATUS -> {
                 startSkipping()
             }
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/http/MalformedHeadSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/http/MalformedHeadSpec.kt
@@ -11,7 +11,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
 
-// Guards against heads that a lenient reading turned into others: status 000.
+// Guards against heads that a lenient reading turned into others: status 000, and names of fields that end at a blank.
 class MalformedHeadSpec {
     /** A connection to an endpoint. Each character that it receives stands for a byte, and `\n` for the end of a line. */
     private class Connection {
@@ -75,6 +75,15 @@
         )
     }
 
+    /** Returns answers with [field] as the first, a middle and the last line of their heads. */
+    private fun answersWith(field: String, framing: String = "Content-Length: 3"): List<String> {
+        val others = listOf(framing, "Request: 1").filter { it.isNotEmpty() }
+        return (0..others.size).map { place ->
+            val lines = others.take(place) + field + others.drop(place)
+            "HTTP/1.1 200 OK\n${lines.joinToString("\n")}\n\nabc"
+        }
+    }
+
     @Nested
     inner class `given an answer whose status line is none` {
         @Test
@@ -124,4 +133,111 @@
             } + "HTTP/1.1 103 Early Hints\nLink: </a>\n\nHTTP/1.1 200 OK\nContent-Length: 3\n\nabc",
         )
     }
+
+    @Nested
+    inner class `given an answer with a line that is no field` {
+        @Test
+        fun `a name with a blank or a tab is unreadable`() = assertUnreadable(
+            listOf("Note : 1", "Note\t: 1", "No te: 1", "Note x: 1", "No\tte: 1", "Note 1", " Note: 1", "\tNote: 1")
+                .flatMap { answersWith(it) },
+        )
+
+        @Test
+        fun `a name with another byte that no name has is unreadable`() = assertUnreadable(
+            listOf(
+                "\u0000",
+                "\u0001",
+                "\u001f",
+                "\u007f",
+                "\u0080",
+                "\u00e9",
+                "(",
+                "\"",
+                ",",
+                "/",
+                ";",
+                "=",
+                "@",
+                "[",
+                "{",
+            )
+                .flatMap { byte -> listOf("No${byte}te: 1", "${byte}Note: 1", "Note$byte: 1") }
+                .flatMap { answersWith(it) },
+        )
+
+        @Test
+        fun `a line without a name or a colon is unreadable`() =
+            assertUnreadable(listOf(": 1", ":", "Note", "1").flatMap { answersWith(it) })
+
+        @Test
+        fun `a value with a control byte is unreadable`() = assertUnreadable(
+            listOf("\u0000", "\u0001", "\u000b", "\u000c", "\r", "\u001f", "\u007f").flatMap {
+                answersWith("Note: a${it}b")
+            },
+        )
+
+        @Test
+        fun `a name that is lenient for that of the framing is unreadable`() = assertUnreadable(
+            listOf(
+                "Content-Length : 2",
+                "Content-Length x: 2",
+                "Transfer-Encoding : chunked",
+                "Transfer-Encoding x: chunked",
+                "Connection : close",
+                "Content-Length\u0000: 2",
+            ).flatMap { answersWith(it) + answersWith(it, framing = "") },
+        )
+
+        @Test
+        fun `other fields are read`() = assertRead(
+            listOf(
+                "Note:",
+                "Note: ",
+                "Note:1",
+                "Note: a b\tc \t",
+                "!#$%&'*+-.^_`|~09azAZ: 1",
+                "Note: \u00e9\u00ff",
+                "a: :",
+            )
+                .flatMap { answersWith(it) },
+        )
+    }
+
+    @Nested
+    inner class `given an answer whose end is stated in two ways` {
+        @Test
+        fun `two lengths or a length that is no number are unreadable`() = assertUnreadable(
+            listOf("2", "+3", "-3", "3a", "", "3, 2", "0x3", "3 3").map { "Content-Length: $it" }
+                .flatMap { if (it.endsWith(" 2")) answersWith(it) else answersWith(it, framing = "") },
+        )
+
+        @Test
+        fun `a length beside chunks is unreadable`() = assertUnreadable(
+            answersWith("Transfer-Encoding: chunked").map { it.removeSuffix("abc") + "3\nabc\n0\n\n" },
+        )
+
+        @Test
+        fun `an encoding of the body other than chunks is unreadable`() = assertUnreadable(
+            listOf("gzip, chunked", "chunked, chunked", "identity", "gzip", "xchunked", "chunked;a=b", "").flatMap {
+                answersWith("Transfer-Encoding: $it", framing = "").map { head ->
+                    head.removeSuffix("abc") + "3\nabc\n0\n\n"
+                }
+            },
+        )
+    }
+
+    @Nested
+    inner class `given an odd line after the chunks` {
+        private val head = "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n3\nabc\n0\n"
+
+        @Test
+        fun `the body is not changed by it`() = assertEach(
+            listOf("Note : 1", "No te: 1", "No\u0001te: 1", "Content-Length: 2", "Content-Length x: 2", ": 1", "Note")
+                .map { "$head$it\n\n" },
+        ) { parts, case ->
+            val body = parts.filterIsInstance<AnswerPart.Body>().joinToString("") { it.bytes.decodeToString() }
+            if (parts.last() !is AnswerPart.Broken) assertEquals("abc", body, case)
+            assertEquals(0, parts.filterIsInstance<AnswerPart.Head>().count { "Note" in it.headers }, case)
+        }
+    }
 }
--- a/node/src/main/kotlin/org/nutmegspring/node/http/HeadLines.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/http/HeadLines.kt
@@ -17,7 +17,7 @@
     fun add(line: ByteArray): String? = when {
         line.isEmpty() -> null.also { isComplete = hasStatusLine }
 
-        hasStatusLine -> null
+        hasStatusLine -> if (isField(line)) null else "a malformed field: ${show(line)}"
 
         else -> (if (isStatusLine(line)) null else "a malformed status line: ${show(line)}").also {
             hasStatusLine = true
@@ -26,13 +26,34 @@
 
     private fun isStatusLine(line: ByteArray): Boolean = STATUS_LINE.matches(String(line, Charsets.ISO_8859_1))
 
+    /** A line that begins with a blank, which once continued the field before, is none either. */
+    private fun isField(line: ByteArray): Boolean {
+        val colon = line.indexOf(COLON)
+        return colon > 0 && (0 until colon).all { isNameByte(line[it]) } &&
+            (colon + 1 until line.size).all { isTextByte(line[it]) }
+    }
+
     private fun show(line: ByteArray): String = String(line, 0, minOf(line.size, SHOWN_BYTES), Charsets.ISO_8859_1)
         .map { if (it in ' '..'~') it else '?' }.joinToString("", "'", "'")
 
     private companion object {
+        const val TAB = '\t'.code.toByte()
+        const val DELETE: Byte = 0x7f
+        const val FIRST_VISIBLE_BYTE = 0x20
+        const val BYTE_MASK = 0xff
+        const val COLON = ':'.code.toByte()
         const val SHOWN_BYTES = 60
 
         /** A status of three digits, from 100 to 599, and any reason without control characters. */
         val STATUS_LINE = Regex("""HTTP/1\.[01] [1-5][0-9]{2}( [\t\x20-\x7e\x80-\xff]*)?""")
+        val NAME_BYTES = BooleanArray(BYTE_MASK + 1).also { bytes ->
+            (('a'..'z') + ('A'..'Z') + ('0'..'9') + "!#$%&'*+-.^_`|~".toList()).forEach { bytes[it.code] = true }
+        }
+
+        fun isNameByte(byte: Byte): Boolean = NAME_BYTES[byte.toInt() and BYTE_MASK]
+
+        /** Bytes above those of ASCII have no meaning in HTTP, but are permitted. */
+        fun isTextByte(byte: Byte): Boolean =
+            byte == TAB || ((byte.toInt() and BYTE_MASK) >= FIRST_VISIBLE_BYTE && byte != DELETE)
     }
 }
--- a/node/src/test/kotlin/org/nutmegspring/node/http/MalformedStoreAnswerSpec.kt
+++ b/node/src/test/kotlin/org/nutmegspring/node/http/MalformedStoreAnswerSpec.kt
@@ -33,4 +33,14 @@
             },
         ),
     )
+
+    @Test
+    fun `a line that is no field is a failure`() = assertEquals(
+        emptyList(),
+        findRead(
+            listOf("No te: 1", "Note : 1", " Note: 1", "No\u0001te: 1", ": 1", "Note", "Content-Length x: 1").flatMap {
+                listOf("HTTP/1.1 200 OK\n$it\nContent-Length: 2", "HTTP/1.1 200 OK\nContent-Length: 2\n$it")
+            },
+        ),
+    )
 }
