serve: take a part of an answer for broken when the request was not sent whole

What callers of `serve` saw: a service answered a long upload at once, without a length, sent a part of the body and reset the connection while the upload was still being written. They got the part as the whole answer.

Cause: the error of a reset goes to whichever side of the connection asks first. When that is the writer, the reader sees an end in order, which ends an answer without a length. Nobody asked what had become of the writing.

Why it works: an answer that its connection ends is whole only if the sending of its request, ended then, has left nothing: no error, and no byte in the channel. The sending is closed only after the answer, so that a service never sees a caller that seems to have left.

--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/http/ResetWhileSendingSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/http/ResetWhileSendingSpec.kt
@@ -1,9 +1,12 @@
 package org.nutmegspring.gateway.http
 
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.EnumSource
 import org.nutmegspring.time.systemMonotonicClock
 import java.net.Socket
 import java.util.concurrent.CountDownLatch
@@ -63,7 +66,58 @@
         }
     }
 
+    /** How an endpoint ends a connection on which it has read the head of a request only. */
+    enum class Ending { RESET, CLOSE, HALF_CLOSE_AND_RESET }
+
+    private fun Socket.answerAtOnce(answer: ByteArray, ending: Ending, isEnded: CountDownLatch) {
+        getInputStream().readHead()
+        getOutputStream().write(answer)
+        if (ending == Ending.HALF_CLOSE_AND_RESET) shutdownOutput()
+        if (ending != Ending.CLOSE) setSoLinger(true, 0)
+        close()
+        isEnded.countDown()
+    }
+
+    /** Returns the last part of an answer without a length, read at once or only [afterTheEnd] of its connection. */
+    private fun readLastPart(body: ByteArray, ending: Ending, afterTheEnd: Boolean): AnswerPart {
+        val isEnded = CountDownLatch(1)
+        val answer = "HTTP/1.1 200 OK\r\n\r\n".encodeToByteArray() + body
+        return ScriptedServer { _, socket -> socket.answerAtOnce(answer, ending, isEnded) }.use { server ->
+            runBlocking {
+                withContext(loop.dispatcher) {
+                    val long = HttpCall("POST", "/x", body = ByteArray(LONG_BODY_BYTES))
+                    val opened = checkNotNull(connections.open(server.address, long).getOrNull())
+                    if (afterTheEnd) withContext(Dispatchers.IO) { isEnded.await(5, TimeUnit.SECONDS) }
+                    var part = opened.next()
+                    while (part is AnswerPart.Head || part is AnswerPart.Body) part = opened.next()
+                    part.also { opened.close() }
+                }
+            }
+        }
+    }
+
+    @Nested
+    inner class `when an endpoint answers a long request at once and ends the connection` {
+        @ParameterizedTest
+        @EnumSource(Ending::class)
+        fun `an answer without length and chunks is not whole`(ending: Ending) = repeat(PLAYS) {
+            assertIs<AnswerPart.Broken>(readLastPart(ByteArray(5), ending, afterTheEnd = false))
+        }
+
+        @ParameterizedTest
+        @EnumSource(Ending::class)
+        fun `an answer whose reading had paused is not whole`(ending: Ending) = repeat(PLAYS) {
+            assertIs<AnswerPart.Broken>(readLastPart(ByteArray(PAUSING_BODY_BYTES), ending, afterTheEnd = true))
+        }
+    }
+
     private companion object {
+        /** The order in which a reset reaches the writer and the reader of a connection is left to chance. */
+        const val PLAYS = 20
+
+        /** Reading pauses below this size, and the buffers of a connection hold all of it. */
+        const val PAUSING_BODY_BYTES = 100 * 1024
+
         /** More than the buffers of a connection hold. */
         const val LONG_BODY_BYTES = 32 * 1024 * 1024
     }
--- a/node/src/main/kotlin/org/nutmegspring/node/control/HttpConnection.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/control/HttpConnection.kt
@@ -9,8 +9,6 @@
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
-import io.ktor.utils.io.writePacket
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.Buffer
@@ -19,6 +17,7 @@
 import org.nutmegspring.failure.Failure
 import org.nutmegspring.failure.Peer
 import org.nutmegspring.failure.Step
+import org.nutmegspring.node.http.RequestOutput
 import org.nutmegspring.node.http.framing
 import org.nutmegspring.node.http.readAnswerBody
 import org.nutmegspring.node.http.readAnswerHead
@@ -51,14 +50,12 @@
     private val timeout: Duration,
 ) : AutoCloseable {
     private val input = socket.openReadChannel()
-    private val output = socket.openWriteChannel()
+    private val output = RequestOutput(socket)
 
     /** Sends a request in a single write and returns its answer. */
     suspend fun exchange(method: HttpMethod, path: String, body: String? = null): Either<Failure, HttpAnswer> =
         runWithTimeout(peer, Effect.UNKNOWN, timeout) {
-            val request = buildRequest(method, path, body?.encodeToByteArray())
-            output.writePacket(request)
-            output.flush()
+            output.write(buildRequest(method, path, body?.encodeToByteArray()))
             readAnswer(method)
         }
 
@@ -78,7 +75,7 @@
     private suspend fun readAnswer(method: HttpMethod): HttpAnswer {
         val head = input.readAnswerHead()
         val body = Buffer()
-        input.readAnswerBody(head.framing(method)) { bytes, count -> body.write(bytes, 0, count) }
+        input.readAnswerBody(head.framing(method), output) { bytes, count -> body.write(bytes, 0, count) }
         return HttpAnswer(head.status.value, body.readString())
     }
 
--- a/node/src/main/kotlin/org/nutmegspring/node/http/AnswerBody.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/http/AnswerBody.kt
@@ -2,18 +2,33 @@
 
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.readAvailable
+import java.io.IOException
 import java.net.ProtocolException
 
 /**
- * Reads a body with [framing] and passes its bytes to [write] as they arrive, as a buffer and the number of bytes in
- * it. Throws an [java.io.IOException] when the connection ends before the body does.
+ * Reads the body of the answer to [request] with [framing] and passes its bytes to [write] as they arrive, as a buffer
+ * and the number of bytes in it. Throws an [IOException] when the connection ends before the body does. One that ends
+ * before the request was sent whole does not end a body in order.
  */
-internal suspend fun ByteReadChannel.readAnswerBody(framing: BodyFraming, write: suspend (ByteArray, Int) -> Unit) {
+internal suspend fun ByteReadChannel.readAnswerBody(
+    framing: BodyFraming,
+    request: RequestOutput,
+    write: suspend (ByteArray, Int) -> Unit,
+) {
     val buffer = ByteArray(BUFFER_BYTES)
     when (framing) {
-        is BodyFraming.Length -> readExactly(framing.bytes, buffer, write)
-        BodyFraming.Chunks -> readChunks(buffer, write)
-        BodyFraming.Connection -> readToEnd(buffer, write)
+        is BodyFraming.Length -> {
+            readExactly(framing.bytes, buffer, write)
+        }
+
+        BodyFraming.Chunks -> {
+            readChunks(buffer, write)
+        }
+
+        BodyFraming.Connection -> {
+            readToEnd(buffer, write)
+            if (!request.finish()) throw IOException("the connection ended within the request")
+        }
     }
 }
 
--- a/node/src/main/kotlin/org/nutmegspring/node/http/SocketEngine.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/http/SocketEngine.kt
@@ -20,12 +20,10 @@
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
 import io.ktor.util.date.GMTDate
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.InternalAPI
 import io.ktor.utils.io.writeFully
-import io.ktor.utils.io.writePacket
 import io.ktor.utils.io.writer
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.job
@@ -58,10 +56,11 @@
         // Ends the exchange when the caller leaves, in whichever state it is.
         context.job.invokeOnCompletion { socket.close() }
         return try {
-            send(data, socket)
+            val output = RequestOutput(socket)
+            send(data, output)
             val input = socket.openReadChannel()
             val head = input.readAnswerHead()
-            val body = openBody(input, head.framing(data.method), socket, context)
+            val body = openBody(input, head.framing(data.method), output, socket, context)
             HttpResponseData(head.status, requestTime, head.headers, HttpProtocolVersion.HTTP_1_1, body, context)
         } catch (failure: Throwable) {
             socket.close()
@@ -83,7 +82,7 @@
         return withTimeoutOrNull(limit) { connecting() } ?: throw ConnectTimeoutException(data)
     }
 
-    private suspend fun send(data: HttpRequestData, socket: Socket) {
+    private suspend fun send(data: HttpRequestData, output: RequestOutput) {
         val body = when (val content = data.body) {
             is OutgoingContent.ByteArrayContent -> content.bytes()
             is OutgoingContent.NoContent -> null
@@ -99,20 +98,18 @@
             }
             emptyLine()
         }.build()
-        val output = socket.openWriteChannel()
-        output.writePacket(head)
-        if (body != null) output.writeFully(body)
-        output.flush()
+        output.write(head, body)
     }
 
     private fun openBody(
         input: ByteReadChannel,
         framing: BodyFraming,
+        request: RequestOutput,
         socket: Socket,
         context: CoroutineContext,
     ): ByteReadChannel = CoroutineScope(context).writer(autoFlush = true) {
         socket.use {
-            input.readAnswerBody(framing) { bytes, count ->
+            input.readAnswerBody(framing, request) { bytes, count ->
                 channel.writeFully(bytes, 0, count)
                 channel.flush()
             }
