serve: leave out odd entries of lists, and read the others

What callers of `serve` would see: one entry of another writer in a list of endpoints, instances or objects, and none of the list was read, for as long as it stood: endpoints that appeared were not used.

Cause: a list was decoded as a whole. Addresses were not looked at, so that one that is none threw where it was used.

Why it works: entries are decoded one by one. One that can't be decoded, or has no IP address with a port, is left out with a line in the log.

--- a/store-client/src/main/kotlin/org/nutmegspring/storeclient/Platform.kt
+++ b/store-client/src/main/kotlin/org/nutmegspring/storeclient/Platform.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.HttpClientEngineFactory
 import io.ktor.client.engine.cio.CIO
@@ -23,7 +24,7 @@
 import io.ktor.http.isSuccess
 import kotlinx.coroutines.CancellationException
 import kotlinx.serialization.KSerializer
-import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.serialization.json.JsonArray
 import org.nutmegspring.failure.Effect
 import org.nutmegspring.failure.Failure
 import org.nutmegspring.failure.Peer
@@ -44,6 +45,7 @@
 import org.nutmegspring.platform.VersionedObject
 import org.nutmegspring.platform.WriteCondition
 import java.net.ConnectException
+import java.net.URI
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -82,7 +84,7 @@
 
     override suspend fun list(prefix: ObjectKey): Either<StoreFailure, List<VersionedObject>> =
         call(Step.READ_OBJECT, HttpMethod.Get, PlatformPaths.OBJECTS, { parameter("prefix", prefix.value) }) {
-            it.decodeJson(ListSerializer(VersionedObject.serializer()))
+            it.decodeEntries(VersionedObject.serializer())
         }
 
     override suspend fun write(
@@ -129,12 +131,15 @@
 
     override suspend fun instances(): Either<StoreFailure, List<ListedInstance>> =
         call(Step.READ_OBJECT, HttpMethod.Get, PlatformPaths.INSTANCES, {}) {
-            it.decodeJson(ListSerializer(ListedInstance.serializer()))
+            it.decodeEntries(ListedInstance.serializer()) { entry ->
+                requireSocketAddress(entry.callerAddress)
+                requireSocketAddress(entry.innerAddress)
+            }
         }
 
     override suspend fun endpoints(): Either<StoreFailure, List<ListedEndpoint>> =
         call(Step.READ_OBJECT, HttpMethod.Get, PlatformPaths.ENDPOINTS, {}) {
-            it.decodeJson(ListSerializer(ListedEndpoint.serializer()))
+            it.decodeEntries(ListedEndpoint.serializer()) { entry -> requireSocketAddress(entry.endpoint.address) }
         }
 
     override suspend fun state(pool: EndpointPool): Either<StoreFailure, PoolState> =
@@ -228,3 +233,29 @@
 
 private suspend fun <T> HttpResponse.decodeJson(serializer: KSerializer<T>): T =
     platformJson.decodeFromString(serializer, bodyAsText())
+
+/** Decodes a list. An entry that cannot be decoded or that [check] throws for, such as another writer's, is left out. */
+private suspend fun <T : Any> HttpResponse.decodeEntries(
+    serializer: KSerializer<T>,
+    check: (T) -> Unit = { },
+): List<T> = decodeJson(JsonArray.serializer()).mapNotNull { entry ->
+    try {
+        platformJson.decodeFromJsonElement(serializer, entry).also(check)
+    } catch (unusable: IllegalArgumentException) {
+        logger.warn { "an entry of a list is left out: ${unusable.message}" }
+        null
+    }
+}
+
+/** Throws an [IllegalArgumentException] unless [text] is an IP address with a port. */
+private fun requireSocketAddress(text: String) {
+    val uri = URI.create("http://$text")
+    val isIpAddress = uri.host.orEmpty().let { host ->
+        host.startsWith('[') || host.all { it in '0'..'9' || it == '.' }
+    }
+    val isWhole = uri.userInfo == null && uri.authority == text
+    require(isIpAddress && uri.port in PORTS && isWhole) { "'$text' is no IP address with a port" }
+}
+
+private val logger = KotlinLogging.logger {}
+private val PORTS = 1..65_535
