--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/AnswerDecoder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/AnswerDecoder.kt
@@ -107,7 +107,7 @@
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val LINE_FEED = '\n'.code.toByte()
 
-        /** What the decoder takes for the status line and the fields together, and more than any endpoint sends. */
+        /** More than the decoder takes, whose own limits apply once a head is complete. */
         const val MAXIMUM_HEAD_BYTES = 16_384
     }
 }
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/http/MalformedHeadSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/http/MalformedHeadSpec.kt
@@ -13,13 +13,13 @@
 
 // Guards against heads that a lenient reading turned into others: status 000, and names of fields that end at a blank.
 class MalformedHeadSpec {
-    /** A connection to an endpoint. Each character that it receives stands for a byte, and `\n` for the end of a line. */
-    private class Connection {
-        private val connection = EndpointConnection(systemMonotonicClock(), { }, { })
-        private val channel = EmbeddedChannel().apply { pipeline().addAnswerHandlers(connection) }
+    /** A connection to an endpoint. A character that it receives stands for a byte, and `\n` for the end of a line. */
+    private class ByteConnection {
+        private val handler = EndpointConnection(systemMonotonicClock(), { }, { })
+        private val channel = EmbeddedChannel().apply { pipeline().addAnswerHandlers(handler) }
 
         fun send(): ReceiveChannel<AnswerPart> {
-            val parts = connection.send(HttpCall("POST", "/x")) { true }
+            val parts = handler.send(HttpCall("POST", "/x")) { true }
             generateSequence { channel.readOutbound<Any>() }.forEach { ReferenceCountUtil.release(it) }
             return parts
         }
@@ -36,7 +36,7 @@
 
     /** Returns the parts of [answer], to a request whose connection stays open. */
     private fun read(answer: String, delivery: Delivery): List<AnswerPart> {
-        val connection = Connection()
+        val connection = ByteConnection()
         if (delivery == Delivery.AFTER_ANOTHER_ANSWER) {
             connection.send()
             connection.receive("HTTP/1.1 200 OK\nKeep-Alive: timeout=10\nContent-Length: 3\n\nold", delivery)
--- a/node/src/main/kotlin/org/nutmegspring/node/http/AnswerHead.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/http/AnswerHead.kt
@@ -102,9 +102,9 @@
     if (method == HttpMethod.Head || status in STATUSES_WITHOUT_BODY) return BodyFraming.Length(0)
     val encoding = headers.getAll(HttpHeaders.TransferEncoding)?.joinToString()
     if (encoding != null) {
-        if (HttpHeaders.ContentLength in headers) throw ProtocolException("a length beside the encoding $encoding")
-        if (!encoding.trim().equals("chunked", ignoreCase = true)) {
-            throw ProtocolException("unknown transfer encoding $encoding")
+        val isInChunks = encoding.trim().equals("chunked", ignoreCase = true)
+        if (!isInChunks || HttpHeaders.ContentLength in headers) {
+            throw ProtocolException("unknown transfer encoding $encoding, or a length beside it")
         }
         return BodyFraming.Chunks
     }
--- a/node/src/main/kotlin/org/nutmegspring/node/http/HeadLines.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/http/HeadLines.kt
@@ -13,7 +13,7 @@
     var isComplete: Boolean = false
         private set
 
-    /** Adds [line] without its end. Returns why it is malformed, or null. Empty lines before the first one are skipped. */
+    /** Adds [line] without its end. Returns why it is malformed, or null. Empty lines before the first are skipped. */
     fun add(line: ByteArray): String? = when {
         line.isEmpty() -> null.also { isComplete = hasStatusLine }
 
@@ -46,9 +46,8 @@
 
         /** A status of three digits, from 100 to 599, and any reason without control characters. */
         val STATUS_LINE = Regex("""HTTP/1\.[01] [1-5][0-9]{2}( [\t\x20-\x7e\x80-\xff]*)?""")
-        val NAME_BYTES = BooleanArray(BYTE_MASK + 1).also { bytes ->
-            (('a'..'z') + ('A'..'Z') + ('0'..'9') + "!#$%&'*+-.^_`|~".toList()).forEach { bytes[it.code] = true }
-        }
+        val NAME_CHARACTERS = ('a'..'z') + ('A'..'Z') + ('0'..'9') + "!#$%&'*+-.^_`|~".toList()
+        val NAME_BYTES = BooleanArray(BYTE_MASK + 1) { it.toChar() in NAME_CHARACTERS }
 
         fun isNameByte(byte: Byte): Boolean = NAME_BYTES[byte.toInt() and BYTE_MASK]
 
--- a/node/src/test/kotlin/org/nutmegspring/node/engine/MalformedServiceAnswerSpec.kt
+++ b/node/src/test/kotlin/org/nutmegspring/node/engine/MalformedServiceAnswerSpec.kt
@@ -13,7 +13,7 @@
     @AfterEach
     fun close() = endpoint.close()
 
-    /** Returns those of [heads], with `\n` for the end of a line and a character for a byte, that count as an answer. */
+    /** Returns those of [heads] that count as an answer. `\n` stands for the end of a line, a character for a byte. */
     private fun findRead(heads: List<String>): List<String> = heads.filter { head ->
         val bytes = "$head\n\nabc".replace("\n", "\r\n").toByteArray(Charsets.ISO_8859_1)
         endpoint.server.answerWith(listOf(bytes))
--- a/store-client/src/main/kotlin/org/nutmegspring/storeclient/Platform.kt
+++ b/store-client/src/main/kotlin/org/nutmegspring/storeclient/Platform.kt
@@ -234,7 +234,7 @@
 private suspend fun <T> HttpResponse.decodeJson(serializer: KSerializer<T>): T =
     platformJson.decodeFromString(serializer, bodyAsText())
 
-/** Decodes a list. An entry that cannot be decoded or that [check] throws for, such as another writer's, is left out. */
+/** Decodes a list. An entry that cannot be decoded or that [check] rejects, such as another writer's, is left out. */
 private suspend fun <T : Any> HttpResponse.decodeEntries(
     serializer: KSerializer<T>,
     check: (T) -> Unit = { },
