serve: read the answers of the store with the library's own engine again

Change: the engine of the store client is the one before. The other cases of MalformedStoreAnswerSpec pass with either engine.

--- a/node/src/main/kotlin/org/nutmegspring/node/instance/Instance.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/instance/Instance.kt
@@ -29,7 +29,6 @@
 import org.nutmegspring.node.execution.ResumingExecution
 import org.nutmegspring.node.execution.ServiceAttempts
 import org.nutmegspring.node.execution.TicketRoutes
-import org.nutmegspring.node.http.SocketEngine
 import org.nutmegspring.node.limits.LimiterParts
 import org.nutmegspring.node.limits.createSharedRateLimiter
 import org.nutmegspring.node.observe.createTelemetry
@@ -92,8 +91,7 @@
     private val epochSeconds = { System.currentTimeMillis() / MILLISECONDS_PER_SECOND }
     val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     val telemetry = createTelemetry(settings.instance.id, settings.traces)
-    val platform =
-        createHttpPlatform(settings.platform.address, settings.platform.timeoutMilliseconds.milliseconds, SocketEngine)
+    val platform = createHttpPlatform(settings.platform.address, settings.platform.timeoutMilliseconds.milliseconds)
     val client = createEndpointHttpClient(settings.endpoints)
 
     val inner = createInnerRuntime(settings, platform, telemetry, clock)
--- a/store-client/src/main/kotlin/org/nutmegspring/storeclient/Platform.kt
+++ b/store-client/src/main/kotlin/org/nutmegspring/storeclient/Platform.kt
@@ -5,7 +5,6 @@
 import arrow.core.right
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.client.HttpClient
-import io.ktor.client.engine.HttpClientEngineFactory
 import io.ktor.client.engine.cio.CIO
 import io.ktor.client.plugins.HttpTimeout
 import io.ktor.client.plugins.timeout
@@ -55,24 +54,14 @@
 /**
  * Creates an HTTP client of the platform at [address], `host:port`. Each call waits at most [timeout]; a watch waits
  * that much longer than its own timeout.
- *
- * @param engine sends the requests and reads the answers
  */
-fun createHttpPlatform(
-    address: String,
-    timeout: Duration = DEFAULT_TIMEOUT,
-    engine: HttpClientEngineFactory<*> = CIO,
-): Platform = HttpPlatform(address, timeout, engine)
+fun createHttpPlatform(address: String, timeout: Duration = DEFAULT_TIMEOUT): Platform = HttpPlatform(address, timeout)
 
 private val DEFAULT_TIMEOUT = 3.seconds
 
-private class HttpPlatform(
-    address: String,
-    private val callTimeout: Duration,
-    engine: HttpClientEngineFactory<*>,
-) : Platform {
+private class HttpPlatform(address: String, private val callTimeout: Duration) : Platform {
     private val base = "http://$address"
-    private val client = HttpClient(engine) {
+    private val client = HttpClient(CIO) {
         expectSuccess = false
         install(HttpTimeout) { connectTimeoutMillis = callTimeout.inWholeMilliseconds }
     }
