--- a/review/rig-3/Gateway.java
+++ b/review/rig-3/Gateway.java
@@ -27,6 +27,10 @@
     private Process process;
 
     Gateway(String name, String zone, Platform platform, Record record, Path directory) throws IOException {
+        this(name, zone, platform.storeAddress(), platform.dutiesAddress(), record, directory);
+    }
+
+    Gateway(String name, String zone, String store, String duties, Record record, Path directory) throws IOException {
         this.name = name;
         this.record = record;
         this.directory = directory;
@@ -42,8 +46,8 @@
         fields.put("bind_addresses.directory", "127.0.0.1:" + freePort());
         fields.put("internal_ports.0", freePort());
         fields.put("internal_ports.1", freePort());
-        fields.put("platform.address", platform.storeAddress());
-        fields.put("cloud_api.address", platform.dutiesAddress());
+        fields.put("platform.address", store);
+        fields.put("cloud_api.address", duties);
         Object[] bounds = {
             "strict_revoke", true, "revoke_ms", 5000, "config_apply_ms", 2000, "drain_ms", 2000, "grace_s", 8,
             "budget_ratio", 0.2, "budget_extra", 52, "budget_window_s", 10, "quota_window_s", 8, "lease_ms", 3000,
--- a/review/rig-3/Platform.java
+++ b/review/rig-3/Platform.java
@@ -21,6 +21,15 @@
         }
     }
 
+    /** Answers the calls for duties. */
+    interface Duties {
+        /** Returns the status of the answer to a call. */
+        int call(String path, String holder, long fence, Map<String, Object> body);
+    }
+
+    /** What answers the calls for duties; they are accepted without. */
+    volatile Duties dutyCalls = (path, holder, fence, body) -> 200;
+
     private final Map<String, TreeMap<String, Map<String, Object>>> kinds = new HashMap<>();
     private final Map<String, List<Event>> events = new HashMap<>();
     private final Record record;
@@ -144,9 +153,12 @@
     }
 
     private boolean handleDuty(HttpServer.Connection connection, Http.Message request) throws IOException {
-        record.line("platform: " + request.target() + " holder " + request.header("Nutmegspring-Lease-Holder")
-            + " fence " + request.header("Nutmegspring-Fencing-Token") + " " + request.text());
-        connection.send(Http.answer(200, List.of(), new byte[0]));
+        String holder = request.header("Nutmegspring-Lease-Holder");
+        String fence = request.header("Nutmegspring-Fencing-Token");
+        int status = dutyCalls.call(request.target(), holder, Long.parseLong(fence), Json.object(Json.parse(request.text())));
+        record.line("platform: " + request.target() + " holder " + holder + " fence " + fence + " " + request.text()
+            + " is answered " + status);
+        connection.send(Http.answer(status, List.of("Keep-Alive: timeout=5"), new byte[0]));
         return true;
     }
 
