--- a/review/rig-3/Gateway.java
+++ b/review/rig-3/Gateway.java
@@ -1,13 +1,17 @@
 import java.io.File;
 import java.io.IOException;
+import java.net.DatagramSocket;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -16,6 +20,10 @@
 final class Gateway {
     private static final Path DEPLOY_FILE = Path.of("deploy/system.toml");
     private static final Pattern PLACEHOLDER = Pattern.compile("\\{\\{([a-z_0-9.]+)(\\|json)?}}");
+    private static final int FIRST_PORT = 12_000;
+    private static final int PORTS = 18_000;
+    private static final Random RANDOM = new Random();
+    private static final Set<Integer> USED_PORTS = new HashSet<>();
     private static final List<Gateway> ALL = new ArrayList<>();
 
     final String name;
@@ -101,7 +109,10 @@
             }
             Thread.sleep(50);
         }
-        throw new IllegalStateException(name + " is not ready after " + seconds + " s");
+        List<String> log = Files.readAllLines(directory.resolve(name + ".log"));
+        log.subList(Math.max(0, log.size() - 20), log.size()).forEach(line -> record.line(name + " log: " + line));
+        String state = process.isAlive() ? "runs" : "ended with exit code " + process.exitValue();
+        throw new IllegalStateException(name + " is not ready after " + seconds + " s; its process " + state);
     }
 
     Process process() {
@@ -121,9 +132,16 @@
         }
     }
 
-    static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
+    /** Returns a free port below those that the system gives to outgoing connections. */
+    static synchronized int freePort() throws IOException {
+        while (true) {
+            int port = FIRST_PORT + RANDOM.nextInt(PORTS);
+            if (!USED_PORTS.add(port)) continue;
+            try (ServerSocket stream = new ServerSocket(port); DatagramSocket datagrams = new DatagramSocket(port)) {
+                return stream.getLocalPort();
+            } catch (IOException inUse) {
+                // Another process has it.
+            }
         }
     }
 }
