Review cases 11 and 14: inside the limits of their disruptions

The faults last for 4.5 and 5 s at a time, and one worker of four crashes. The check on timeouts leaves out connections that end before the timeout.

--- a/review/11/RepeatedRefusal.java
+++ b/review/11/RepeatedRefusal.java
@@ -8,7 +8,8 @@
  * the earlier worker with 421; a fault makes it write some of these answers once more, late.
  */
 final class RepeatedRefusal extends Case {
-    private static final int ROUNDS = 12;
+    private static final int ROUNDS = 6;
+    private static final double FAULT_SECONDS = 4.5;
     private static final int CALLERS = 6;
     private static final String KEY = "i9n73hh2b9wu3fexd9dn";
 
@@ -19,6 +20,8 @@
 
     /** A worker that writes a second copy of its 421 answers where the next answer of the connection is expected. */
     private final class FaultyWorker extends Worker {
+        private final double startedAt = record.now();
+
         FaultyWorker(String id, int port) throws IOException {
             super(platform, record, id, Site.DESK, "rennes", port, null, 60);
         }
@@ -27,7 +30,8 @@
         boolean handle(HttpServer.Connection connection, Http.Message request)
             throws IOException, InterruptedException {
             answers.incrementAndGet();
-            if (hasTrouble && connection.state != null) {
+            boolean isFaulty = hasTrouble && record.now() - startedAt < FAULT_SECONDS;
+            if (isFaulty && connection.state != null) {
                 record.line("worker " + id + ": writes its answer to " + connection.state + " once more, before that to "
                     + request.header("Nutmegspring-Request-Id"));
                 copies.incrementAndGet();
@@ -43,7 +47,7 @@
 
         @Override
         boolean misdirect(HttpServer.Connection connection, Http.Message request) throws IOException {
-            connection.state = request.header("Nutmegspring-Request-Id");
+            if (record.now() - startedAt < FAULT_SECONDS) connection.state = request.header("Nutmegspring-Request-Id");
             return super.misdirect(connection, request);
         }
     }
@@ -58,7 +62,9 @@
             List.of(Site.tenant("hule930", KEY))));
         FaultyWorker worker = new FaultyWorker("i-first", 0);
         worker.register();
-        new Worker(platform, record, "i-sound", Site.DESK, "rennes", 0, null, 60).register();
+        for (String zone : List.of("brest", "vannes", "quimper")) {
+            new Worker(platform, record, "i-sound-" + zone, Site.DESK, zone, 0, null, 60).register();
+        }
         List<Gateway> gateways = new ArrayList<>();
         for (String zone : Site.ZONES) gateways.add(new Gateway("frontend-" + zone + "-1", zone, platform, record, directory));
         for (Gateway gateway : gateways) gateway.start();
--- a/review/14/EndlessEvent.java
+++ b/review/14/EndlessEvent.java
@@ -10,7 +10,9 @@
  * requests that are not idempotent to a sound service at the same machine.
  */
 final class EndlessEvent extends Case {
-    private static final int SECONDS = 25;
+    private static final int WINDOWS = 3;
+    private static final int FAULT_SECONDS = 5;
+    private static final int PAUSE_SECONDS = 4;
     private static final int STREAM_CALLERS = 12;
     private static final int CALLERS = 16;
     private static final int ANSWERS_PER_FAULT = 34;
@@ -19,6 +21,7 @@
     private final AtomicInteger faults = new AtomicInteger();
     private final AtomicInteger streams = new AtomicInteger();
     private final AtomicInteger servedStreams = new AtomicInteger();
+    private volatile boolean isFaulty;
     private volatile boolean isOver;
 
     /** An engine that never ends an event in one of {@link #ANSWERS_PER_FAULT} answers. */
@@ -31,7 +34,7 @@
         boolean handle(HttpServer.Connection connection, Http.Message request)
             throws IOException, InterruptedException {
             boolean isStream = !request.target().startsWith("/-/");
-            if (!isStream || answers.incrementAndGet() % ANSWERS_PER_FAULT != 0 || !hasTrouble) {
+            if (!isStream || !isFaulty || answers.incrementAndGet() % ANSWERS_PER_FAULT != 0 || !hasTrouble) {
                 return super.handle(connection, request);
             }
             faults.incrementAndGet();
@@ -81,10 +84,15 @@
         DeskCallers callers = new DeskCallers(record, gateway, CALLERS);
         Thread.sleep(4000);
         for (int caller = 0; caller < STREAM_CALLERS; caller++) HttpServer.start(() -> stream(gateway));
-        Thread.sleep(SECONDS * 1000L);
+        for (int window = 0; window < WINDOWS; window++) {
+            isFaulty = true;
+            Thread.sleep(FAULT_SECONDS * 1000L);
+            isFaulty = false;
+            Thread.sleep(PAUSE_SECONDS * 1000L);
+        }
         isOver = true;
         record.line(streams.get() + " streams sent, " + servedStreams.get() + " answered with success; " + faults.get()
-            + " of " + answers.get() + " answers of the faulty engine had no end");
+            + " of " + answers.get() + " answers of the faulty engine, in its faulty times, had no end");
         if (servedStreams.get() == 0) throw new IllegalStateException("no stream was served");
         return callers.end();
     }
--- a/review/rig-3/DeskCallers.java
+++ b/review/rig-3/DeskCallers.java
@@ -57,18 +57,12 @@
                     double elapsed = record.now() - sentAt;
                     record.line(String.format("client: %s is answered %d after %.3f s", id, status, elapsed));
                     if (status == 200) served.incrementAndGet();
-                    if (elapsed > ROUTE_TIMEOUT) late.incrementAndGet();
-                    if (elapsed > ROUTE_TIMEOUT + ANSWER_MARGIN) unanswered.incrementAndGet();
+                    countLate(elapsed);
                     id = "none";
                     Thread.sleep(200);
                 }
             } catch (IOException closed) {
-                if (!id.equals("none")) {
-                    record.line(String.format("client: %s, which %s, has no answer after %.3f s: %s", id,
-                        Worker.RUNS.containsKey(id) ? "ran" : "did not run", record.now() - sentAt, closed));
-                    late.incrementAndGet();
-                    unanswered.incrementAndGet();
-                }
+                if (!id.equals("none")) count(id, record.now() - sentAt, closed);
                 pause();
             } catch (InterruptedException ended) {
                 return;
@@ -76,6 +70,18 @@
         }
     }
 
+    /** Counts a request whose connection ended. One that ended before the route's timeout is no late one. */
+    private void count(String id, double elapsed, IOException closed) {
+        record.line(String.format("client: %s, which %s, has no answer after %.3f s: %s", id,
+            Worker.RUNS.containsKey(id) ? "ran" : "did not run", elapsed, closed));
+        countLate(elapsed);
+    }
+
+    private void countLate(double elapsed) {
+        if (elapsed > ROUTE_TIMEOUT) late.incrementAndGet();
+        if (elapsed > ROUTE_TIMEOUT + ANSWER_MARGIN) unanswered.incrementAndGet();
+    }
+
     private static void pause() {
         try {
             Thread.sleep(50);
