CONFIG: the work for an event no longer grows with the parts it arrives in

Cause, one of two: EventSplitter copied the whole unfinished event for each part and searched it from its start, which is n * n / 2 bytes of work on the event loop for an event of n bytes in parts of one byte.

The budget of held answers counts the whole buffer.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -205,7 +205,7 @@
             val part = awaitNextPart(run, attempt, started)
             if (part !is AnswerPart.Body) return finishAttempt(run, prepared, progress, started.head, events, part)
             val problem = forwardPart(run, progress, started.head, part.bytes, events, attempt)
-                ?: "no memory for a partial event".takeIf { !started.answer.tryHold(events.pendingBytes) }
+                ?: "no memory for a partial event".takeIf { !started.answer.tryHold(events.heldBytes) }
             if (problem != null) return recordFailure(run, prepared, brokenAnswer(prepared, problem))
             run.exchange.awaitWritable()
         }
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/forwarding/EventSplitterSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/forwarding/EventSplitterSpec.kt
@@ -33,6 +33,55 @@
         }
     }
 
+    /** Guards against CONFIG: the work for an event grew with the square of the number of its parts. */
+    @Nested
+    inner class `given parts of one byte` {
+        private fun addInSingleBytes(text: ByteArray) = text.sumOf { splitter.add(byteArrayOf(it)).size }
+
+        private fun assertIsLinear(bytes: Int) =
+            assertTrue(splitter.processedBytes <= 8L * bytes, "${splitter.processedBytes} for $bytes bytes")
+
+        @Test
+        fun `an event without an end takes work in proportion to its bytes`() {
+            assertEquals(0, addInSingleBytes(ByteArray(ENDLESS_BYTES) { 'x'.code.toByte() }))
+            assertIsLinear(ENDLESS_BYTES)
+            assertTrue(splitter.heldBytes <= 2 * ENDLESS_BYTES)
+        }
+
+        @Test
+        fun `lines without an empty line take work in proportion to their bytes`() {
+            for (line in listOf(":\n", ":\r\n", "data: x\n")) {
+                val splitter = EventSplitter()
+                val bytes = line.repeat(ENDLESS_BYTES / line.length).encodeToByteArray()
+                bytes.forEach { splitter.add(byteArrayOf(it)) }
+                assertTrue(splitter.hasPartialEvent)
+                assertTrue(splitter.processedBytes <= 8L * bytes.size, "${splitter.processedBytes} for ${bytes.size}")
+            }
+        }
+
+        @Test
+        fun `whole events of two bytes take work in proportion to their bytes`() {
+            assertEquals(ENDLESS_BYTES / 2, addInSingleBytes("\n\n".repeat(ENDLESS_BYTES / 2).encodeToByteArray()))
+            assertIsLinear(ENDLESS_BYTES)
+        }
+
+        @Test
+        fun `events are the same as in one piece`() {
+            val text = "id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\n\n\n"
+            val single = text.encodeToByteArray().flatMap { splitter.add(byteArrayOf(it)) }
+            val whole = EventSplitter().add(text.encodeToByteArray())
+            assertEquals(
+                whole.map { it.bytes.decodeToString() to it.id },
+                single.map {
+                    it.bytes.decodeToString() to
+                        it.id
+                },
+            )
+            assertEquals(3, whole.size)
+            assertFalse(splitter.hasPartialEvent)
+        }
+    }
+
     @Nested
     inner class `given events in pieces` {
         @Test
@@ -53,4 +102,8 @@
             assertTrue(splitter.hasPartialEvent)
         }
     }
+
+    private companion object {
+        const val ENDLESS_BYTES = 64 * 1024
+    }
 }
