CONFIG: a turn of the event loop is bounded whatever the size of the parts of an answer

Cause: each chunk of an answer was a part in the queue of its receiver, which suspends only when the queue is empty. Up to 64 Ki parts were taken in one turn of the event loop while more were being read, each with an object of many times its byte, and each event was written to the caller by itself. A connection to an endpoint read up to 1 MiB in a turn.

All bytes that wait for a receiver are now one part, in bodies of every kind, so that the parts in a turn are bounded by the reads. Reads from endpoints have the bound of those from callers.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/StreamForwarder.kt
@@ -14,6 +14,7 @@
 import org.nutmegspring.gateway.observe.BodyFraming
 import org.nutmegspring.gateway.observe.Interruption
 import org.nutmegspring.placement.EnginePlan
+import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -220,11 +221,19 @@
         events: EventSplitter,
         attempt: EngineAttempt,
     ): String? {
+        val output = ByteArrayOutputStream()
+        var problem: String? = null
         for (event in events.add(bytes)) {
-            if (!progress.isInOrder(event)) return "an event that does not continue the stream"
-            forwardEvent(run, progress, head, event, attempt)
+            if (!progress.isInOrder(event)) {
+                problem = "an event that does not continue the stream"
+                break
+            }
+            recordEvent(run, progress, head, event, attempt)
+            output.writeBytes(event.bytes)
         }
-        return if (events.isTooLarge) "an endless event" else null
+        // Together, since each write is a call of the system.
+        if (output.size() > 0) run.exchange.send(output.toByteArray())
+        return problem ?: "an endless event".takeIf { events.isTooLarge }
     }
 
     /** Finishes an attempt with its last [part], null when the wait for it timed out. */
@@ -270,7 +279,7 @@
         }
     }
 
-    private fun forwardEvent(
+    private fun recordEvent(
         run: RequestRun,
         progress: StreamProgress,
         head: AnswerHead,
@@ -288,7 +297,6 @@
             usage.recordStart(run.admitted, System.currentTimeMillis())
         }
         if (event.id != null) progress.lastEvent = event.id
-        run.exchange.send(event.bytes)
     }
 
     /** Whether the stream ended within an event, or ended with its connection before the first one. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
@@ -1,6 +1,6 @@
 package org.nutmegspring.gateway.http
 
-import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
@@ -31,8 +31,18 @@
     /** The status and the headers. */
     class Head(val status: Int, val headers: HttpHeaders) : AnswerPart
 
-    /** The next bytes of the body. */
-    class Body(val bytes: ByteArray) : AnswerPart
+    /** The next bytes of the body: all that arrived until the receiver took them, whatever pieces they came in. */
+    class Body internal constructor() : AnswerPart {
+        private val buffer = BodyBuffer()
+
+        /** The number of the bytes. */
+        val size: Int get() = buffer.size
+
+        /** A copy of the bytes. */
+        val bytes: ByteArray get() = buffer.toByteArray()
+
+        internal fun append(content: ByteBuf) = buffer.append(content)
+    }
 
     /** The answer is complete. */
     data object End : AnswerPart
@@ -67,6 +77,9 @@
     private var isComplete = false
     private var queuedBytes = 0
 
+    /** The last part of the body that the receiver has not taken yet, null if there is none. */
+    private var openPart: AnswerPart.Body? = null
+
     /** When the endpoint may close the connection if it stays idle. */
     var idleDeadline: MonotonicTime = MonotonicTime.ZERO
         private set
@@ -88,6 +101,7 @@
         this.isExpected = isExpected
         isComplete = false
         queuedBytes = 0
+        openPart = null
         skippedAnswers = 0
         skippedBytes = 0
         val body = if (call.body.isEmpty()) Unpooled.EMPTY_BUFFER else Unpooled.wrappedBuffer(call.body)
@@ -183,7 +197,7 @@
         val answer = parts
         if (isSkipping) return skip(content)
         if (answer == null || isComplete) return
-        if (content.content().isReadable) queue(answer, ByteBufUtil.getBytes(content.content()))
+        if (content.content().isReadable) queue(answer, content.content())
         if (content is LastHttpContent) {
             isComplete = true
             answer.trySend(AnswerPart.End)
@@ -191,17 +205,27 @@
         }
     }
 
-    /** Reading pauses while the receiver is behind, so that an answer without end waits at the endpoint. */
-    private fun queue(answer: Parts<AnswerPart>, bytes: ByteArray) {
-        answer.trySend(AnswerPart.Body(bytes))
-        queuedBytes += bytes.size
+    /**
+     * Adds [bytes] to the part that waits for the receiver. An object for each piece would cost many times its bytes,
+     * and a receiver that takes one at a time would not give way while pieces arrive. Reading pauses while the receiver
+     * is behind, so that an answer without end waits at the endpoint.
+     */
+    private fun queue(answer: Parts<AnswerPart>, bytes: ByteBuf) {
+        queuedBytes += bytes.readableBytes()
+        val part = openPart
+        if (part != null) {
+            part.append(bytes)
+        } else {
+            openPart = AnswerPart.Body().also { it.append(bytes) }.also(answer::trySend)
+        }
         if (queuedBytes > MAXIMUM_QUEUED_BYTES) channel.config().isAutoRead = false
     }
 
-    /** Records that the receiver has taken [bytes] of the body from [answer]. */
-    fun recordTaken(answer: ReceiveChannel<AnswerPart>, bytes: Int) {
+    /** Records that the receiver has taken [part] of the body from [answer]. */
+    fun recordTaken(answer: ReceiveChannel<AnswerPart>, part: AnswerPart.Body) {
         if (answer !== parts) return
-        queuedBytes -= bytes
+        if (part === openPart) openPart = null
+        queuedBytes -= part.size
         if (queuedBytes <= MAXIMUM_QUEUED_BYTES / 2) channel.config().isAutoRead = true
     }
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnections.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnections.kt
@@ -161,6 +161,7 @@
         .channel(NioSocketChannel::class.java)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout.inWholeMilliseconds.toInt())
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.RCVBUF_ALLOCATOR, createReadAllocator())
         .handler(object : ChannelInitializer<Channel>() {
             override fun initChannel(channel: Channel) {
                 channel.pipeline().addAnswerHandlers(connection)
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/HttpServer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/HttpServer.kt
@@ -1,7 +1,6 @@
 package org.nutmegspring.gateway.http
 
 import io.netty.bootstrap.ServerBootstrap
-import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -77,10 +76,7 @@
         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
-        .childOption(
-            ChannelOption.RCVBUF_ALLOCATOR,
-            AdaptiveRecvByteBufAllocator(MINIMUM_READ_BYTES, FIRST_READ_BYTES, MAXIMUM_READ_BYTES),
-        )
+        .childOption(ChannelOption.RCVBUF_ALLOCATOR, createReadAllocator())
         .childOption(
             ChannelOption.WRITE_BUFFER_WATER_MARK,
             WriteBufferWaterMark(RESUMING_UNREAD_BYTES, MAXIMUM_UNREAD_BYTES),
@@ -98,11 +94,6 @@
 /** As many bytes of answers wait for a caller before its next request is handled, and before a stream goes on. */
 private const val MAXIMUM_UNREAD_BYTES = 32 * 1024
 private const val RESUMING_UNREAD_BYTES = 16 * 1024
-private const val MINIMUM_READ_BYTES = 512
-private const val FIRST_READ_BYTES = 2048
-
-/** Bounds what is received beyond the part of a request that may be decoded. */
-private const val MAXIMUM_READ_BYTES = 16_384
 
 /** The length of the queue of connections to accept. When it is full, callers are delayed by seconds. */
 private const val ACCEPT_BACKLOG = 1024
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/OpenAnswer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/OpenAnswer.kt
@@ -44,7 +44,7 @@
         while (problem == null) {
             when (val part = next()) {
                 is AnswerPart.Body -> {
-                    val size = body.size() + part.bytes.size
+                    val size = body.size() + part.size
                     when {
                         size > maximumBytes -> problem = "a body larger than $maximumBytes bytes"
                         !tryHold(size) -> problem = "the answers that are being received hold too many bytes"
@@ -85,7 +85,7 @@
     suspend fun next(): AnswerPart {
         val part = parts.receiveCatching().getOrNull() ?: AnswerPart.Broken("connection closed")
         if (part is AnswerPart.End) isComplete = true
-        if (part is AnswerPart.Body) connection.recordTaken(parts, part.bytes.size)
+        if (part is AnswerPart.Body) connection.recordTaken(parts, part)
         return part
     }
 
