TWICE: a connection to an endpoint never carries one request id twice

Cause: a request keeps its id when it is sent again, and an answer was recognised by that id alone. After a 421 of a successor at its predecessor's address, the second sending could use the kept connection that had carried the first one, and a late copy of the 421 was taken for its answer. Calls whose answers have no id shared these connections: a late answer to a request was taken for an engine's answer to an order.

A connection keeps the hash codes of up to 256 ids and is closed after that many; a second sending uses another kept one or opens one.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Attempt.kt
@@ -110,9 +110,8 @@
         val headers = dialect.endpointHeaders(call.headers, dispatch)
         val id = dialect.readRequest(headers).id
         val sent = HttpCall(call.method, call.target, headers, call.body)
-        val opened = connections.open(dispatch.endpoint.address, sent, canReuse) {
-            dialect.readAnswer(0, it).requestId ==
-                id
+        val opened = connections.open(dispatch.endpoint.address, sent, canReuse && id != null, id?.value) {
+            dialect.readAnswer(0, it).requestId == id
         }
         return opened.fold(
             { AttemptStart.Failed(it) },
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
@@ -74,6 +74,9 @@
     private var skippedAnswers = 0
     private var skippedBytes = 0
     private var isReusable = true
+
+    /** The hash codes of the ids of the requests so far. Equal hash codes of two ids cost one connection. */
+    private val carriedIds = HashSet<Int>()
     private var isComplete = false
     private var queuedBytes = 0
 
@@ -94,8 +97,19 @@
         channel = context.channel()
     }
 
-    /** Sends [call] and returns the parts of its answer. Answers that fail [isExpected] are skipped. */
-    fun send(call: HttpCall, isExpected: (HttpHeaders) -> Boolean): ReceiveChannel<AnswerPart> {
+    /** Whether the connection has carried a request with [requestId]. */
+    fun hasCarried(requestId: String): Boolean = requestId.hashCode() in carriedIds
+
+    /**
+     * Sends [call], which has [requestId] unless that is null, and returns the parts of its answer. Answers that fail
+     * [isExpected] are skipped.
+     */
+    fun send(
+        call: HttpCall,
+        requestId: String? = null,
+        isExpected: (HttpHeaders) -> Boolean,
+    ): ReceiveChannel<AnswerPart> {
+        if (requestId != null) recordId(requestId)
         val answer = Parts<AnswerPart>(Parts.UNLIMITED)
         parts = answer
         this.isExpected = isExpected
@@ -119,6 +133,11 @@
         return answer
     }
 
+    private fun recordId(requestId: String) {
+        carriedIds += requestId.hashCode()
+        if (carriedIds.size >= MAXIMUM_CARRIED_IDS) isReusable = false
+    }
+
     /** Closes the connection, on which bytes were received that belong to no request. */
     fun closeForStrayBytes() {
         onStrayBytes()
@@ -270,6 +289,9 @@
         const val SWITCHING_PROTOCOLS = 101
         const val FIRST_FINAL_STATUS = 200
 
+        /** Bounds the memory of a connection that is never idle for long. */
+        const val MAXIMUM_CARRIED_IDS = 256
+
         /** Interim answers and late answers to earlier requests are few and short. */
         const val MAXIMUM_SKIPPED_ANSWERS = 16
         const val MAXIMUM_SKIPPED_BYTES = 1024 * 1024
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnections.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnections.kt
@@ -62,28 +62,41 @@
      * Sends [call] to [address]. When nothing was sent, the effect of the failure is [Effect.NOT_RUN].
      *
      * @param mayReuse whether an idle connection may carry the request
+     * @param requestId the id by which [isExpected] recognises the answer, null if it recognises none. No connection
+     * carries the same id twice, since a late copy of the first answer would pass for the second one
      * @param isExpected whether an answer with these headers belongs to [call]; others are skipped
      */
     suspend fun open(
         address: String,
         call: HttpCall,
         mayReuse: Boolean = true,
+        requestId: String? = null,
         isExpected: (HttpHeaders) -> Boolean = { true },
     ): Either<Failure, OpenAnswer> {
-        val connection = (if (mayReuse) takeIdle(address) else null)
+        val connection = (if (mayReuse) takeIdle(address, requestId) else null)
             ?: when (val connected = connect(address)) {
                 is Either.Left -> return connected
                 is Either.Right -> connected.value
             }
-        return OpenAnswer(connection, connection.send(call, isExpected), memory).right()
+        return OpenAnswer(connection, connection.send(call, requestId, isExpected), memory).right()
     }
 
-    /** Sends [call] to [address] and returns the complete answer, or a failure if it takes longer than [timeout]. */
-    suspend fun exchange(address: String, call: HttpCall, timeout: Duration): Either<Failure, HttpAnswer> {
+    /**
+     * Sends [call] to [address] and returns the complete answer, or a failure if it takes longer than [timeout].
+     *
+     * @param mayReuse whether an idle connection may carry the request. Its answer has no id, so an extra answer to an
+     * earlier request on that connection would pass for it
+     */
+    suspend fun exchange(
+        address: String,
+        call: HttpCall,
+        timeout: Duration,
+        mayReuse: Boolean = true,
+    ): Either<Failure, HttpAnswer> {
         var answer: OpenAnswer? = null
         return try {
             val whole = withTimeoutOrNull(timeout) {
-                when (val opened = open(address, call)) {
+                when (val opened = open(address, call, mayReuse)) {
                     is Either.Left -> opened
                     is Either.Right -> opened.value.also { answer = it }.readWhole(address)
                 }
@@ -118,13 +131,19 @@
         idle.remove(address)?.forEach { it.close() }
     }
 
-    private fun takeIdle(address: String): EndpointConnection? {
+    /** Returns the connection that became idle last among those that have not carried [requestId]. */
+    private fun takeIdle(address: String, requestId: String?): EndpointConnection? {
         val pooled = idle[address] ?: return null
         val now = clock.now()
-        while (pooled.isNotEmpty()) {
-            val connection = pooled.removeLast()
-            if (connection.isUsable && connection.idleDeadline > now) return connection
-            connection.close()
+        for (index in pooled.indices.reversed()) {
+            val connection = pooled[index]
+            if (!connection.isUsable || connection.idleDeadline <= now) {
+                pooled.removeAt(index)
+                connection.close()
+            } else if (requestId == null || !connection.hasCarried(requestId)) {
+                pooled.removeAt(index)
+                return connection
+            }
         }
         return null
     }
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/http/EndpointConnectionsSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/http/EndpointConnectionsSpec.kt
@@ -10,6 +10,7 @@
 import org.nutmegspring.time.systemMonotonicClock
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.test.Test
@@ -101,6 +102,75 @@
         }
     }
 
+    // Guards against TWICE: a late copy of a refusal passed for the answer to the second sending of the request.
+    @Nested
+    inner class `given a connection that has carried an id` {
+        /** Refuses the first request of a connection and repeats that refusal before the answer to the second one. */
+        private fun refuseThenRepeat() = ScriptedServer { number, socket ->
+            val refusal = completeAnswer("refused", "Request: 1\nKeep-Alive: timeout=10\n")
+            if (number == 1) {
+                socket.answerRequest(refusal)
+                socket.answerRequest(refusal + completeAnswer("late", "Request: 1\n"))
+            } else {
+                socket.answerRequest(completeAnswer("own", "Request: 1\nKeep-Alive: timeout=10\n"))
+            }
+        }
+
+        private suspend fun send(server: ScriptedServer, id: String): String? =
+            connections.open(server.address, call(id), requestId = id) { it.get("Request") == id }.getOrNull()
+                ?.use { answer -> answer.readWhole(server.address).getOrNull()?.body?.decodeToString() }
+
+        private fun onLoop(block: suspend () -> Unit) = runBlocking { withContext(loop.dispatcher) { block() } }
+
+        @Test
+        fun `a second request with this id uses another connection`() = refuseThenRepeat().use {
+            onLoop {
+                assertEquals("refused", send(it, "1"))
+                assertEquals("own", send(it, "1"))
+            }
+            assertEquals(2, it.connections)
+        }
+
+        @Test
+        fun `requests with other ids use it, also after a request with this id did not`() {
+            val usedFor = CopyOnWriteArrayList<Pair<Int, String>>()
+            val server = ScriptedServer { number, socket ->
+                while (true) {
+                    val id = socket.getInputStream().readHead().first {
+                        it.startsWith("Request: ")
+                    }.substringAfter(": ")
+                    usedFor += number to id
+                    socket.getOutputStream().writeHttp(completeAnswer("", "Request: $id\nKeep-Alive: timeout=10\n"))
+                }
+            }
+            server.use { onLoop { listOf("1", "1", "2", "1", "2").forEach { id -> send(server, id) } } }
+            assertEquals(listOf(1 to "1", 2 to "1", 2 to "2", 3 to "1", 3 to "2"), usedFor.toList())
+        }
+
+        @Test
+        fun `it is closed after a number of requests, so that their ids take a bounded space`() {
+            val server = ScriptedServer { _, socket ->
+                while (true) {
+                    val id = socket.getInputStream().readHead().first { it.startsWith("Request: ") }
+                    socket.getOutputStream().writeHttp(completeAnswer("", "$id\nKeep-Alive: timeout=10\n"))
+                }
+            }
+            server.use {
+                onLoop { repeat(257) { number -> assertEquals("", send(server, "$number")) } }
+                assertEquals(2, it.connections)
+            }
+        }
+
+        @Test
+        fun `a call whose answer has no id does not use it if it may not`() = refuseThenRepeat().use {
+            onLoop {
+                assertEquals("refused", send(it, "1"))
+                val answer = connections.exchange(it.address, call("none"), 5.seconds, mayReuse = false)
+                assertEquals("own", answer.getOrNull()?.body?.decodeToString())
+            }
+        }
+    }
+
     @Nested
     inner class `given incomplete or malformed answers` {
         private fun failure(script: (Socket) -> Unit): Failure =
