QUOTA: a process that started after its clock was set back is heard

Cause: which of two processes of an instance is the newer was told by the wall clock alone, for good.

Evidence: the test of PeerTableSpec failed with that rule: the reports never counted.

The start time tells a late report only until the last report of the other process expires. Datagrams are not later than that.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerTable.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerTable.kt
@@ -66,12 +66,7 @@
 
     /** Records [report], unless a newer one was received before. Returns whether it was recorded. */
     fun recordReport(report: PeerReport, now: MonotonicTime): Boolean {
-        val last = reports[report.instance]?.report
-        if (last != null) {
-            val isSameProcess = last.incarnation == report.incarnation
-            if (isSameProcess && report.sequence <= last.sequence) return false
-            if (!isSameProcess && report.startedAtMilliseconds < last.startedAtMilliseconds) return false
-        }
+        if (reports[report.instance]?.let { isOutdated(report, it, now) } ?: false) return false
         reports[report.instance] = ReceivedReport(report, now)
         sightings[report.incarnation] = Sighting(now, now + report.lifetime(REPORT_TIMEOUT))
         report.windows.forEach { countsByWindow.getOrPut(it.window) { mutableMapOf() }[report.incarnation] = it.counts }
@@ -81,6 +76,16 @@
         return true
     }
 
+    /**
+     * Whether [report] was overtaken by [last]. A process may seem to have started before the one that it replaced when
+     * the wall clock was set back in between, so that this tells a late report only while the last one is valid.
+     */
+    private fun isOutdated(report: PeerReport, last: ReceivedReport, now: MonotonicTime): Boolean = when {
+        report.incarnation == last.report.incarnation -> report.sequence <= last.report.sequence
+        now - last.receivedAt >= last.report.lifetime(REPORT_TIMEOUT) -> false
+        else -> report.startedAtMilliseconds < last.report.startedAtMilliseconds
+    }
+
     /** Merges counts relayed by another instance. The counts of a process only grow, so that greater ones are newer. */
     private fun mergeEndedProcess(ended: EndedProcessReport, now: MonotonicTime) {
         if (ended.incarnation == ownIncarnation) return
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/peers/PeerTableSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/peers/PeerTableSpec.kt
@@ -48,6 +48,23 @@
         table.callerTargets(OwnAddress(CallerTarget("self:1", null), isReady, evidenceAge), clock.now())
             .map { it.address }
 
+    // Guards against QUOTA: after a restart with the clock set back, an instance and its charges went unheard.
+    @Nested
+    inner class `when a process seems to have started before the one it replaced` {
+        private fun report(incarnation: Long, startedAt: Long) =
+            table.recordReport(report("a", incarnation = incarnation, startedAt = startedAt), clock.now())
+
+        @Test
+        fun `its reports count once the last report of the other has expired`() {
+            register("a")
+            assertTrue(report(incarnation = 1, startedAt = 5_000))
+            clock.advance(1.seconds)
+            assertFalse(report(incarnation = 2, startedAt = 3_000), "it may be a late report of an earlier process")
+            clock.advance(1.seconds)
+            assertTrue(report(incarnation = 2, startedAt = 3_000))
+        }
+    }
+
     @Nested
     inner class `when callers ask for addresses` {
         @Test
