--- a/decisions/src/main/kotlin/org/nutmegspring/currency/FeedStatement.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/currency/FeedStatement.kt
@@ -1,6 +1,7 @@
 package org.nutmegspring.currency
 
 import org.nutmegspring.platform.StoreEra
+import org.nutmegspring.time.AgeClock
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration
 
@@ -45,7 +46,7 @@
  * appears older than it is, never younger. A follower that is ahead of the statement is current as well, since the
  * store had not passed the revision [FeedStatement.position] when the call began that showed it.
  *
- * @param now the time on the clock of the follower
+ * @param ages measures the age of what the statement proves
  * @param maximumAge above the time between two answers of the store to an instance that follows the feed by itself
  */
 fun judgeStatement(
@@ -53,12 +54,12 @@
     era: StoreEra,
     position: Long,
     askedAt: MonotonicTime,
-    now: MonotonicTime,
+    ages: AgeClock,
     maximumAge: Duration,
 ): StatementVerdict {
     val provenAt = askedAt - statement.age
     return when {
-        now - provenAt > maximumAge || statement.era < era -> {
+        ages.ageOf(provenAt) > maximumAge || statement.era < era -> {
             StatementVerdict.Unproved
         }
 
--- a/decisions/src/main/kotlin/org/nutmegspring/currency/FreshnessEvidence.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/currency/FreshnessEvidence.kt
@@ -1,5 +1,6 @@
 package org.nutmegspring.currency
 
+import org.nutmegspring.time.AgeClock
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration
 
@@ -23,9 +24,9 @@
         confirmedAt = null
     }
 
-    /** Returns the age of the last confirmation at [now], or null when there is none. */
-    fun age(now: MonotonicTime): Duration? = confirmedAt?.let { now - it }
+    /** Returns the age of the last confirmation by [ages], or null when there is none. */
+    fun age(ages: AgeClock): Duration? = confirmedAt?.let(ages::ageOf)
 
-    /** Whether the last confirmation is less than [limit] old at [now]. */
-    fun isYoungerThan(limit: Duration, now: MonotonicTime): Boolean = age(now)?.let { it < limit } ?: false
+    /** Whether the last confirmation is less than [limit] old by [ages]. */
+    fun isYoungerThan(limit: Duration, ages: AgeClock): Boolean = age(ages)?.let { it < limit } ?: false
 }
--- a/decisions/src/main/kotlin/org/nutmegspring/evacuation/EvacuationState.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/evacuation/EvacuationState.kt
@@ -2,6 +2,7 @@
 
 import org.nutmegspring.identity.DataCentreId
 import org.nutmegspring.platform.StoreEra
+import org.nutmegspring.time.AgeClock
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration
 
@@ -69,39 +70,39 @@
     fun permits(dataCentre: DataCentreId): Boolean = isListed && dataCentre !in known
 
     /** Returns the evacuations in force. */
-    fun inForce(now: MonotonicTime): List<Evacuation> = known.map { (dataCentre, evacuation) ->
+    fun inForce(ages: AgeClock): List<Evacuation> = known.map { (dataCentre, evacuation) ->
         val evidence =
             if (evacuation.absentSince == null) EvacuationEvidence.SHOWN else EvacuationEvidence.EARLIER_ERA
-        Evacuation(dataCentre, evidence, evidenceAge(now) ?: Duration.ZERO)
+        Evacuation(dataCentre, evidence, evidenceAge(ages) ?: Duration.ZERO)
     }
 
     /** Returns the age of the newest answer of the store, or null before the first listing. */
-    fun evidenceAge(now: MonotonicTime): Duration? = provenAt?.let { now - it }
+    fun evidenceAge(ages: AgeClock): Duration? = provenAt?.let(ages::ageOf)
 
     /** Applies a listing of [shown] in [listedEra], by a call that began at [callStartedAt]. */
     fun applyListing(
         shown: Set<DataCentreId>,
         listedEra: StoreEra,
         callStartedAt: MonotonicTime,
-        now: MonotonicTime,
+        ages: AgeClock,
     ): List<EvacuationChange> {
         if (listedEra != era) known.values.forEach { it.absentSince = null }
         era = listedEra
-        val changes = shown.flatMap { applyCreation(it, callStartedAt, now) } +
-            (known.keys - shown).mapNotNull { applyAbsence(it, callStartedAt, now) }
-        return changes + confirm(callStartedAt, now)
+        val changes = shown.flatMap { applyCreation(it, callStartedAt, ages) } +
+            (known.keys - shown).mapNotNull { applyAbsence(it, callStartedAt, ages) }
+        return changes + confirm(callStartedAt, ages)
     }
 
     /** Applies that the object of [dataCentre] was created or written again, as an answer showed. */
     fun applyCreation(
         dataCentre: DataCentreId,
         callStartedAt: MonotonicTime,
-        now: MonotonicTime,
+        ages: AgeClock,
     ): List<EvacuationChange> {
         val evacuation = known[dataCentre]
         if (evacuation == null) {
             known[dataCentre] = Known(era)
-            return listOf(EvacuationChange(dataCentre, EvacuationChangeKind.BEGUN, now - callStartedAt))
+            return listOf(EvacuationChange(dataCentre, EvacuationChangeKind.BEGUN, ages.ageOf(callStartedAt)))
         }
         evacuation.shownIn = era
         evacuation.absentSince = null
@@ -112,32 +113,32 @@
     fun applyDeletion(
         dataCentre: DataCentreId,
         callStartedAt: MonotonicTime,
-        now: MonotonicTime,
+        ages: AgeClock,
     ): List<EvacuationChange> {
         known.remove(dataCentre) ?: return emptyList()
-        return listOf(EvacuationChange(dataCentre, EvacuationChangeKind.WITHDRAWN, now - callStartedAt))
+        return listOf(EvacuationChange(dataCentre, EvacuationChangeKind.WITHDRAWN, ages.ageOf(callStartedAt)))
     }
 
     /** Records that all changes that the store had accepted by [callStartedAt] were applied. */
-    fun confirm(callStartedAt: MonotonicTime, now: MonotonicTime): List<EvacuationChange> {
+    fun confirm(callStartedAt: MonotonicTime, ages: AgeClock): List<EvacuationChange> {
         val proven = maxOf(provenAt ?: callStartedAt, callStartedAt)
         provenAt = proven
         val expired = known.filterValues { it.absentSince?.let { since -> proven - since >= retention } ?: false }.keys
         return expired.toList().map {
             known.remove(it)
-            EvacuationChange(it, EvacuationChangeKind.EXPIRED, now - proven)
+            EvacuationChange(it, EvacuationChangeKind.EXPIRED, ages.ageOf(proven))
         }
     }
 
     private fun applyAbsence(
         dataCentre: DataCentreId,
         callStartedAt: MonotonicTime,
-        now: MonotonicTime,
+        ages: AgeClock,
     ): EvacuationChange? {
         val evacuation = known.getValue(dataCentre)
-        if (evacuation.shownIn == era) return applyDeletion(dataCentre, callStartedAt, now).single()
+        if (evacuation.shownIn == era) return applyDeletion(dataCentre, callStartedAt, ages).single()
         if (evacuation.absentSince != null) return null
         evacuation.absentSince = callStartedAt
-        return EvacuationChange(dataCentre, EvacuationChangeKind.KEPT, now - callStartedAt)
+        return EvacuationChange(dataCentre, EvacuationChangeKind.KEPT, ages.ageOf(callStartedAt))
     }
 }
--- a/decisions/src/main/kotlin/org/nutmegspring/lease/LeaseRules.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/lease/LeaseRules.kt
@@ -3,6 +3,7 @@
 import org.nutmegspring.identity.FencingToken
 import org.nutmegspring.platform.StoreEra
 import org.nutmegspring.platform.WriteCondition
+import org.nutmegspring.time.AgeClock
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -12,7 +13,7 @@
  *
  * The holder measures the lease duration from just before it sent the write. Any other process measures it from its
  * first observation of the current version and adds the clock rate margin. Readings of different clocks are never
- * compared.
+ * compared. All waits are by the monotonic clock, which no step of the wall clock moves.
  *
  * @property standbyDelay how much longer a standby waits than the preferred process before it takes over
  */
@@ -20,8 +21,12 @@
     val timing: LeaseTiming,
     private val standbyDelay: Duration = timing.readInterval * 2,
 ) {
-    /** Returns the next action at [now]. The caller must complete it before asking for another one. */
-    fun nextAction(state: LeaseState, desiredRole: LeaseRole, now: MonotonicTime): LeaseAction {
+    /**
+     * Returns the next action at [now]. The caller must complete it before asking for another one.
+     *
+     * @param ages measures the age of the leases of this process
+     */
+    fun nextAction(state: LeaseState, desiredRole: LeaseRole, now: MonotonicTime, ages: AgeClock): LeaseAction {
         if (desiredRole == LeaseRole.NONE && isUninvolved(state)) return LeaseAction.Wait(now + timing.readInterval)
         val readAt = state.readAt ?: return LeaseAction.Read
         val readAgainAt = readAt + timing.readInterval
@@ -30,8 +35,8 @@
             seen != null && isOwn(state) -> renewOrRelease(state, seen, desiredRole, now)
             now >= readAgainAt -> LeaseAction.Read
             desiredRole == LeaseRole.NONE -> LeaseAction.Wait(readAgainAt)
-            now >= earliestTakeover(state, readAt, desiredRole, now) -> takeOver(state, now)
-            else -> LeaseAction.Wait(minOf(readAgainAt, earliestTakeover(state, readAt, desiredRole, now)))
+            now >= earliestTakeover(state, readAt, desiredRole, ages) -> takeOver(state, now)
+            else -> LeaseAction.Wait(minOf(readAgainAt, earliestTakeover(state, readAt, desiredRole, ages)))
         }
     }
 
@@ -61,16 +66,16 @@
     }
 
     /**
-     * Returns the state after the store was first seen in [era] at [now].
+     * Returns the state after the store was first seen in [era] at [now]. [ages] is as for [nextAction].
      *
      * Leases of earlier eras are not known to the store any more, but their holders may still act under them: the last
      * renewal was accepted before [era] began. Nobody else takes the lease before they have expired.
      */
-    fun onNewEra(state: LeaseState, era: StoreEra, now: MonotonicTime): LeaseState = LeaseState(
+    fun onNewEra(state: LeaseState, era: StoreEra, now: MonotonicTime, ages: AgeClock): LeaseState = LeaseState(
         self = state.self,
         lastSequence = state.lastSequence,
         era = era,
-        inherited = state.validLease(now),
+        inherited = state.validLease(now, ages),
         freeAt = earliestInNewEra(now),
     )
 
@@ -82,7 +87,7 @@
 
     /** Returns the lease that [write] grants when it is found at [now] to have taken effect, or null for a release. */
     protected open fun leaseGrantedBy(write: LeaseWrite, now: MonotonicTime): HeldLease? =
-        if (write.record.released) null else HeldLease(write.record.fencing, write.sentAt + timing.duration)
+        if (write.record.released) null else HeldLease(write.record.fencing, write.sentAt, timing.duration)
 
     /** Returns how long a lease of [duration] must be seen unchanged before another process may take it over. */
     protected open fun takeoverWait(duration: Duration): Duration = timing.withClockMargin(duration)
@@ -97,8 +102,8 @@
         now: MonotonicTime,
     ): LeaseAction {
         if (desiredRole == LeaseRole.NONE) return createWrite(state, seen, seen.record.fencing, now, released = true)
-        val renewAt = (state.held ?: return createWrite(state, seen, seen.record.fencing, now)).validUntil -
-            timing.duration + timing.renewInterval
+        val held = state.held ?: return createWrite(state, seen, seen.record.fencing, now)
+        val renewAt = held.since + timing.renewInterval
         return if (now >= renewAt) createWrite(state, seen, seen.record.fencing, now) else LeaseAction.Wait(renewAt)
     }
 
@@ -110,12 +115,12 @@
         state: LeaseState,
         readAt: MonotonicTime,
         desiredRole: LeaseRole,
-        now: MonotonicTime,
+        ages: AgeClock,
     ): MonotonicTime {
         val delay = if (desiredRole == LeaseRole.HOLD) Duration.ZERO else standbyDelay
         val seen = state.seen
         return when {
-            seen == null && state.inherited?.isValid(now) == true -> readAt
+            seen == null && state.inherited?.isValid(ages) == true -> readAt
             seen == null -> maxOf(readAt, (state.freeAt ?: readAt) + delay)
             seen.record.released -> seen.firstSeenAt + delay
             else -> seen.firstSeenAt + takeoverWait(seen.record.durationMilliseconds.milliseconds) + delay
--- a/decisions/src/main/kotlin/org/nutmegspring/lease/LeaseState.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/lease/LeaseState.kt
@@ -4,6 +4,7 @@
 import org.nutmegspring.platform.ObjectVersion
 import org.nutmegspring.platform.StoreEra
 import org.nutmegspring.platform.WriteCondition
+import org.nutmegspring.time.AgeClock
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration
 
@@ -19,16 +20,25 @@
     NONE,
 }
 
-/** A lease that this process holds until [validUntil], by its own clock. */
+/**
+ * A lease that this process holds for [duration] from [since], by its own clock.
+ *
+ * Whether it may act under the lease depends on the age of the lease, which counts a suspension of the machine: the
+ * time of all others went on.
+ */
 data class HeldLease(
     val fencing: FencingToken,
-    val validUntil: MonotonicTime,
+    val since: MonotonicTime,
+    val duration: Duration,
 ) {
-    /** Whether the lease is valid at [now]. */
-    fun isValid(now: MonotonicTime): Boolean = now < validUntil
+    /** When the lease ends unless the machine is suspended. */
+    val validUntil: MonotonicTime get() = since + duration
+
+    /** Whether the lease is valid by [ages]. */
+    fun isValid(ages: AgeClock): Boolean = isValidThrough(ages, Duration.ZERO)
 
-    /** Whether the lease remains valid for [span] after [now] without renewal. */
-    fun isValidThrough(now: MonotonicTime, span: Duration): Boolean = now + span < validUntil
+    /** Whether the lease remains valid by [ages] for [span] from now without renewal. */
+    fun isValidThrough(ages: AgeClock, span: Duration): Boolean = ages.ageOf(since) + span < duration
 }
 
 /** A conditional write of a lease object. If it takes effect, the lease runs from [sentAt], just before the send. */
@@ -75,11 +85,14 @@
     val freeAt: MonotonicTime? = null,
 ) {
     /**
-     * Returns the lease that this process holds at [now], or null. An inherited one is used to its end, so that no call
-     * under its token can arrive after one under a greater token.
+     * Returns the lease that this process holds at [now] by [ages], or null. An inherited one is used to its end, so
+     * that no call under its token can arrive after one under a greater token. A step of the wall clock ends its use
+     * early, but not the time in which calls under it may arrive.
      */
-    fun validLease(now: MonotonicTime): HeldLease? =
-        inherited?.takeIf { it.isValid(now) } ?: held?.takeIf { it.isValid(now) }
+    fun validLease(now: MonotonicTime, ages: AgeClock): HeldLease? {
+        val current = inherited?.takeIf { now < it.validUntil } ?: held
+        return current?.takeIf { it.isValid(ages) }
+    }
 }
 
 /** The next step of a process for a lease. */
--- a/decisions/src/main/kotlin/org/nutmegspring/limits/EndpointKnowledge.kt
+++ b/decisions/src/main/kotlin/org/nutmegspring/limits/EndpointKnowledge.kt
@@ -1,5 +1,6 @@
 package org.nutmegspring.limits
 
+import org.nutmegspring.time.AgeClock
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -18,27 +19,27 @@
     private var isCutOff = false
 
     /**
-     * Records that the process runs at [now], as it does many times a second.
+     * Records that the process runs at [now], as it does many times a second. [ages] tells for how long it did not.
      *
      * @param evidenceAge the age of the evidence that the list of endpoints is current, null without any
      * @param isAlone whether there are other instances and none of them reports
      */
-    fun recordActivity(evidenceAge: Duration?, isAlone: Boolean, now: MonotonicTime) {
-        noticeSuspension(now)
+    fun recordActivity(evidenceAge: Duration?, isAlone: Boolean, now: MonotonicTime, ages: AgeClock) {
+        noticeSuspension(now, ages)
         activeAt = now
         val age = evidenceAge ?: Duration.INFINITE
-        if (resumedAt?.let { age <= now - it } ?: false) resumedAt = null
+        if (resumedAt?.let { age <= ages.ageOf(it) } ?: false) resumedAt = null
         isCutOff = isAlone && age > LONGEST_EVIDENCE_AGE
     }
 
-    /** Whether the knowledge suffices at [now]. */
-    fun isSufficient(now: MonotonicTime): Boolean {
-        noticeSuspension(now)
+    /** Whether the knowledge suffices at [now]. [ages] is as for [recordActivity]. */
+    fun isSufficient(now: MonotonicTime, ages: AgeClock): Boolean {
+        noticeSuspension(now, ages)
         return resumedAt == null && !isCutOff
     }
 
-    private fun noticeSuspension(now: MonotonicTime) {
-        if (activeAt?.let { now - it > LONGEST_PAUSE } ?: false) {
+    private fun noticeSuspension(now: MonotonicTime, ages: AgeClock) {
+        if (activeAt?.let { ages.ageOf(it) > LONGEST_PAUSE } ?: false) {
             resumedAt = now
             activeAt = now
         }
--- a/decisions/src/test/kotlin/org/nutmegspring/currency/FeedStatementSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/currency/FeedStatementSpec.kt
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.Nested
 import org.nutmegspring.platform.StoreEra
 import org.nutmegspring.time.MonotonicTime
+import org.nutmegspring.time.agesWithoutSuspension
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -18,7 +19,14 @@
     private val start = MonotonicTime(10.seconds.inWholeNanoseconds)
 
     private fun judge(statement: FeedStatement, position: Long, waited: Duration = 10.milliseconds) =
-        judgeStatement(statement, era, position, start, start + waited, maximumAge = 1800.milliseconds)
+        judgeStatement(
+            statement,
+            era,
+            position,
+            start,
+            (start + waited).agesWithoutSuspension(),
+            maximumAge = 1800.milliseconds,
+        )
 
     @Nested
     inner class `given a relay that saw the last change at revision 100 and the store at 120` {
@@ -145,7 +153,7 @@
     @Nested
     inner class `given changes, relays and questions at random, late answers and hearsay` {
         private val real = Judge { statement, position, askedAt, now ->
-            judgeStatement(statement, StoreEra(1), position, askedAt, now, 1800.milliseconds)
+            judgeStatement(statement, StoreEra(1), position, askedAt, now.agesWithoutSuspension(), 1800.milliseconds)
         }
 
         private fun play(judge: Judge, acceptsOutdated: Boolean = false): List<Fleet> =
--- a/decisions/src/test/kotlin/org/nutmegspring/evacuation/EvacuationStateSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/evacuation/EvacuationStateSpec.kt
@@ -4,6 +4,7 @@
 import org.nutmegspring.identity.DataCentreId
 import org.nutmegspring.platform.StoreEra
 import org.nutmegspring.time.MonotonicTime
+import org.nutmegspring.time.agesWithoutSuspension
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -19,10 +20,12 @@
 
     private fun at(second: Int) = MonotonicTime.ZERO + second.seconds
 
+    private fun agesAt(second: Int) = at(second).agesWithoutSuspension()
+
     private fun record(changes: List<EvacuationChange>) = kinds.addAll(changes.map { it.kind })
 
     private fun list(second: Int, era: Long, shown: Set<DataCentreId> = emptySet()) =
-        record(state.applyListing(shown, StoreEra(era), at(second), at(second)))
+        record(state.applyListing(shown, StoreEra(era), at(second), agesAt(second)))
 
     @Nested
     inner class `while the store answers` {
@@ -31,9 +34,9 @@
             assertFalse(isPermitted)
             list(0, 1)
             assertTrue(isPermitted)
-            record(state.applyCreation(rennes, at(1), at(1)))
+            record(state.applyCreation(rennes, at(1), agesAt(1)))
             assertEquals(listOf(false, true), listOf(isPermitted, state.permits(DataCentreId("quimper"))))
-            record(state.applyDeletion(rennes, at(3), at(3)))
+            record(state.applyDeletion(rennes, at(3), agesAt(3)))
             assertTrue(isPermitted)
             assertEquals(listOf(EvacuationChangeKind.BEGUN, EvacuationChangeKind.WITHDRAWN), kinds)
         }
@@ -52,7 +55,7 @@
         fun `the known state stays in force, and its evidence ages`() {
             list(0, 1, setOf(rennes))
             assertFalse(isPermitted)
-            assertEquals(listOf(Evacuation(rennes, EvacuationEvidence.SHOWN, 600.seconds)), state.inForce(at(600)))
+            assertEquals(listOf(Evacuation(rennes, EvacuationEvidence.SHOWN, 600.seconds)), state.inForce(agesAt(600)))
         }
     }
 
@@ -62,12 +65,12 @@
         fun `an evacuation stays until the new era has shown its absence for the bound, from each new era on`() {
             list(0, 1, setOf(rennes))
             list(10, 2)
-            assertEquals(EvacuationEvidence.EARLIER_ERA, state.inForce(at(10)).single().evidence)
+            assertEquals(EvacuationEvidence.EARLIER_ERA, state.inForce(agesAt(10)).single().evidence)
             list(12, 3)
-            record(state.confirm(at(16), at(16)))
+            record(state.confirm(at(16), agesAt(16)))
             assertFalse(isPermitted)
-            assertEquals(16.seconds, state.evidenceAge(at(32)))
-            record(state.confirm(at(17), at(17)))
+            assertEquals(16.seconds, state.evidenceAge(agesAt(32)))
+            record(state.confirm(at(17), agesAt(17)))
             assertTrue(isPermitted)
             assertEquals(EvacuationChangeKind.EXPIRED, kinds.last())
         }
@@ -76,10 +79,10 @@
         fun `one that is ordered again in the new era stays, and its deletion withdraws it at once`() {
             list(0, 1, setOf(rennes))
             list(10, 2)
-            record(state.applyCreation(rennes, at(12), at(12)))
-            record(state.confirm(at(60), at(60)))
+            record(state.applyCreation(rennes, at(12), agesAt(12)))
+            record(state.confirm(at(60), agesAt(60)))
             assertFalse(isPermitted)
-            record(state.applyDeletion(rennes, at(61), at(61)))
+            record(state.applyDeletion(rennes, at(61), agesAt(61)))
             assertTrue(isPermitted)
         }
     }
--- a/decisions/src/test/kotlin/org/nutmegspring/lease/LeaseRulesSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/lease/LeaseRulesSpec.kt
@@ -8,6 +8,7 @@
 import org.nutmegspring.platform.StoreEra
 import org.nutmegspring.platform.WriteCondition
 import org.nutmegspring.time.MonotonicTime
+import org.nutmegspring.time.agesWithoutSuspension
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -25,11 +26,20 @@
 
     private fun at(after: Duration): MonotonicTime = MonotonicTime.ZERO + after
 
+    private fun nextAction(state: LeaseState, role: LeaseRole, now: MonotonicTime) =
+        rules.nextAction(state, role, now, now.agesWithoutSuspension())
+
+    private fun onNewEra(state: LeaseState, era: StoreEra, now: MonotonicTime) =
+        rules.onNewEra(state, era, now, now.agesWithoutSuspension())
+
+    private fun validLeaseAt(state: LeaseState, now: MonotonicTime) =
+        state.validLease(now, now.agesWithoutSuspension())
+
     private fun lease(version: Long, writer: LeaseHolder, sequence: Long, released: Boolean = false) =
         VersionedLease(ObjectVersion(version), LeaseRecord(writer, sequence, FencingToken(4), 6_000, released))
 
     private fun writeAt(state: LeaseState, now: MonotonicTime): LeaseWrite =
-        assertIs<LeaseAction.Write>(rules.nextAction(state, LeaseRole.HOLD, now)).write
+        assertIs<LeaseAction.Write>(nextAction(state, LeaseRole.HOLD, now)).write
 
     @Nested
     inner class `given a lease that another process holds` {
@@ -39,24 +49,24 @@
         fun `waits for its duration and the clock rate margin from the first observation of the version`() {
             val waitsUntil = 10.seconds + timing.withClockMargin(6.seconds)
             val reread = rules.onObserved(seen, lease(7, other, 1), at(waitsUntil - 1.milliseconds))
-            assertIs<LeaseAction.Wait>(rules.nextAction(reread, LeaseRole.HOLD, at(waitsUntil - 1.milliseconds)))
+            assertIs<LeaseAction.Wait>(nextAction(reread, LeaseRole.HOLD, at(waitsUntil - 1.milliseconds)))
             assertEquals(FencingToken(5), writeAt(reread, at(waitsUntil)).record.fencing)
         }
 
         @Test
         fun `restarts the wait when the version changes`() {
             val renewed = rules.onObserved(seen, lease(8, other, 2), at(16.seconds))
-            assertIs<LeaseAction.Wait>(rules.nextAction(renewed, LeaseRole.HOLD, at(16.5.seconds)))
+            assertIs<LeaseAction.Wait>(nextAction(renewed, LeaseRole.HOLD, at(16.5.seconds)))
         }
 
         @Test
         fun `reads the object again before a takeover when its last read is old`() {
-            assertEquals(LeaseAction.Read, rules.nextAction(seen, LeaseRole.HOLD, at(60.seconds)))
+            assertEquals(LeaseAction.Read, nextAction(seen, LeaseRole.HOLD, at(60.seconds)))
         }
 
         @Test
         fun `does not read the object when it does not want the lease`() {
-            assertIs<LeaseAction.Wait>(rules.nextAction(seen, LeaseRole.NONE, at(60.seconds)))
+            assertIs<LeaseAction.Wait>(nextAction(seen, LeaseRole.NONE, at(60.seconds)))
         }
     }
 
@@ -69,7 +79,7 @@
         @Test
         fun `does not hold the lease until it has read the object`() {
             assertNull(unanswered.held)
-            assertEquals(LeaseAction.Read, rules.nextAction(unanswered, LeaseRole.HOLD, at(3.seconds)))
+            assertEquals(LeaseAction.Read, nextAction(unanswered, LeaseRole.HOLD, at(3.seconds)))
         }
 
         @Test
@@ -112,7 +122,7 @@
 
         @Test
         fun `stops holding it before the release is sent`() {
-            val release = assertIs<LeaseAction.Write>(rules.nextAction(held, LeaseRole.NONE, at(2.seconds))).write
+            val release = assertIs<LeaseAction.Write>(nextAction(held, LeaseRole.NONE, at(2.seconds))).write
             assertTrue(release.record.released)
             assertNull(rules.onSend(held, release).held)
         }
@@ -130,7 +140,7 @@
         @Test
         fun `the preferred process takes it over immediately and a standby waits`() {
             assertEquals(FencingToken(5), writeAt(released, at(1.seconds)).record.fencing)
-            assertIs<LeaseAction.Wait>(rules.nextAction(released, LeaseRole.STAND_BY, at(1.seconds)))
+            assertIs<LeaseAction.Wait>(nextAction(released, LeaseRole.STAND_BY, at(1.seconds)))
         }
     }
 
@@ -143,25 +153,25 @@
 
         @Test
         fun `a process without the lease waits until all earlier leases have expired`() {
-            val waiting = rules.onNewEra(LeaseState(self), era, at(10.seconds))
+            val waiting = onNewEra(LeaseState(self), era, at(10.seconds))
             val early = at(expiry - 1.milliseconds)
-            assertIs<LeaseAction.Wait>(rules.nextAction(absentAt(waiting, early), LeaseRole.HOLD, early))
-            assertIs<LeaseAction.Write>(rules.nextAction(absentAt(waiting, at(expiry)), LeaseRole.HOLD, at(expiry)))
+            assertIs<LeaseAction.Wait>(nextAction(absentAt(waiting, early), LeaseRole.HOLD, early))
+            assertIs<LeaseAction.Write>(nextAction(absentAt(waiting, at(expiry)), LeaseRole.HOLD, at(expiry)))
         }
 
         @Test
         fun `a lower version than the one seen before is not ignored`() {
             val seen = rules.onObserved(LeaseState(self), lease(70, other, 9), at(9.seconds))
-            val restored = rules.onNewEra(seen, era, at(10.seconds))
+            val restored = onNewEra(seen, era, at(10.seconds))
             assertEquals(ObjectVersion(7), rules.onObserved(restored, lease(7, other, 1), at(10.seconds)).seen?.version)
         }
 
         @Test
         fun `the first token is greater than all of earlier eras`() {
-            val last = rules.onNewEra(LeaseState(self), StoreEra(2), at(0.seconds))
+            val last = onNewEra(LeaseState(self), StoreEra(2), at(0.seconds))
                 .let { absentAt(it, at(10.seconds)) }
                 .let { writeAt(it, at(10.seconds)) }
-            val restored = absentAt(rules.onNewEra(LeaseState(self), era, at(10.seconds)), at(expiry))
+            val restored = absentAt(onNewEra(LeaseState(self), era, at(10.seconds)), at(expiry))
             assertTrue(writeAt(restored, at(expiry)).record.fencing > last.record.fencing)
         }
 
@@ -171,15 +181,15 @@
             val write = writeAt(first, at(8.seconds))
             val sent = rules.onSend(first, write)
             val holding = rules.onObserved(sent, VersionedLease(ObjectVersion(5), write.record), at(8.1.seconds))
-            val restored = absentAt(rules.onNewEra(holding, era, at(10.seconds)), at(10.seconds))
+            val restored = absentAt(onNewEra(holding, era, at(10.seconds)), at(10.seconds))
             val taken = writeAt(restored, at(10.seconds))
             val granted = rules.onObserved(
                 rules.onSend(restored, taken),
                 VersionedLease(ObjectVersion(3), taken.record),
                 at(10.1.seconds),
             )
-            assertEquals(write.record.fencing, granted.validLease(at(13.9.seconds))?.fencing)
-            assertEquals(taken.record.fencing, granted.validLease(at(14.seconds))?.fencing)
+            assertEquals(write.record.fencing, validLeaseAt(granted, at(13.9.seconds))?.fencing)
+            assertEquals(taken.record.fencing, validLeaseAt(granted, at(14.seconds))?.fencing)
         }
     }
 }
--- a/decisions/src/test/kotlin/org/nutmegspring/lease/LeaseSimulation.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/lease/LeaseSimulation.kt
@@ -7,7 +7,9 @@
 import org.nutmegspring.platform.ObjectVersion
 import org.nutmegspring.platform.StoreEra
 import org.nutmegspring.platform.WriteCondition
+import org.nutmegspring.time.AgeClock
 import org.nutmegspring.time.MonotonicTime
+import org.nutmegspring.time.SuspensionAwareAges
 import java.util.PriorityQueue
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -16,7 +18,8 @@
 /**
  * Processes that compete for one lease in a store that returns from older copies, on virtual time in milliseconds.
  *
- * Calls are lost, delayed or not answered; processes pause, are killed and start again; other writers use up revisions.
+ * Calls are lost, delayed or not answered; processes pause, are killed and start again; their machines are suspended
+ * and their wall clocks step; other writers use up revisions.
  */
 internal class LeaseSimulation(seed: Int, private val rules: LeaseRules) {
     /** A call under the lease, as the platform receives it. */
@@ -47,7 +50,7 @@
             now = event.at
             event.run()
         }
-        return processes.any { it.state.validLease(it.clock()) != null }
+        return processes.any { it.state.validLease(it.clock(), it.ages) != null }
     }
 
     private fun after(delay: Long, run: () -> Unit) {
@@ -60,10 +63,12 @@
     }
 
     private fun causeFault() {
-        when (random.nextInt(4)) {
+        when (random.nextInt(6)) {
             0 -> store.restore()
-            1 -> processes.random(random).pausedUntil = now + random.nextLong(6_000)
+            1 -> processes.random(random).pause(random.nextLong(6_000))
             2 -> restart(random.nextInt(PROCESSES))
+            3 -> processes.random(random).suspend(random.nextLong(6_000))
+            4 -> processes.random(random).stepWallClock(random.nextLong(-4_000, 4_000))
             else -> store.writeElsewhere(random.nextInt(20))
         }
         if (hasFaults) after(random.nextLong(MAXIMUM_FAULT_PAUSE)) { causeFault() }
@@ -114,7 +119,7 @@
 
     private inner class Process(holder: LeaseHolder) {
         var state = LeaseState(holder)
-        var pausedUntil = 0L
+        private var pausedUntil = 0L
         private var knownEra: StoreEra? = null
         private var call = 0L
         private var isCalling = false
@@ -122,16 +127,37 @@
         private val rate = 1 + random.nextDouble(-1.0, 1.0) * rules.timing.clockRateBound
         private val role = if (random.nextBoolean()) LeaseRole.HOLD else LeaseRole.STAND_BY
 
-        fun clock(): MonotonicTime = MonotonicTime.ZERO + (offset + now * rate).milliseconds
+        private var suspendedFor = 0L
+        private var wallClockOffset = random.nextLong(1_000_000)
+
+        /** Reads the clock, which stands still while the machine is suspended. */
+        fun clock(): MonotonicTime = MonotonicTime.ZERO + (offset + (now - suspendedFor) * rate).milliseconds
+
+        val ages: AgeClock = SuspensionAwareAges(::clock, { wallClockOffset + (now * rate).toLong() })
+
+        /** Not while the machine is suspended, since a step back would hide that. */
+        fun stepWallClock(milliseconds: Long) {
+            if (now >= pausedUntil + STEP_PAUSE) wallClockOffset += milliseconds
+        }
+
+        fun pause(duration: Long) {
+            pausedUntil = maxOf(pausedUntil, now + duration)
+        }
+
+        fun suspend(duration: Long) {
+            if (now < pausedUntil) return
+            pause(duration)
+            suspendedFor += duration
+        }
 
         fun step() {
             if (now < pausedUntil) return
             usePlatform()
             if (isCalling) return
             val era = knownEra ?: return send { store.read(duty.key) }
-            if (era != state.era) state = rules.onNewEra(state, era, clock())
+            if (era != state.era) state = rules.onNewEra(state, era, clock(), ages)
             val key = duty.keyIn(era)
-            when (val action = rules.nextAction(state, role, clock())) {
+            when (val action = rules.nextAction(state, role, clock(), ages)) {
                 LeaseAction.Read -> {
                     send { store.read(key) }
                 }
@@ -149,8 +175,8 @@
 
         /** Makes a call to the platform that arrives before its timeout, if the lease covers it. */
         private fun usePlatform() {
-            val lease = state.validLease(clock()) ?: return
-            if (lease.isValidThrough(clock(), PLATFORM_TIMEOUT.milliseconds)) {
+            val lease = state.validLease(clock(), ages) ?: return
+            if (lease.isValidThrough(ages, PLATFORM_TIMEOUT.milliseconds)) {
                 after(random.nextLong(PLATFORM_TIMEOUT)) { arrivals += Arrival(state.self, lease.fencing) }
             }
         }
@@ -194,6 +220,7 @@
         val FAULTS_END = 100.seconds.inWholeMilliseconds
         val END = 120.seconds.inWholeMilliseconds
         const val STORE_TIMEOUT = 1_000L
+        const val STEP_PAUSE = 200L
         const val PLATFORM_TIMEOUT = 800L
     }
 }
--- a/decisions/src/test/kotlin/org/nutmegspring/lease/RestoredLeaseSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/lease/RestoredLeaseSpec.kt
@@ -25,8 +25,9 @@
         return Outcome(simulation.run(), simulation.arrivals)
     }
 
+    // Guards against ONE: a step of the wall clock ended the wait for another's lease, and two processes held it.
     @Nested
-    inner class `given restores, pauses, restarts and lost calls at random` {
+    inner class `given restores, pauses, restarts, lost calls, suspensions and clock steps at random` {
         private val outcomes = (1..SEEDS).associateWith { run(it, LeaseRules(timing)) }
 
         @Test
--- a/decisions/src/test/kotlin/org/nutmegspring/limits/ColdFleetSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/limits/ColdFleetSpec.kt
@@ -2,6 +2,7 @@
 
 import org.junit.jupiter.api.Nested
 import org.nutmegspring.time.MonotonicTime
+import org.nutmegspring.time.agesWithoutSuspension
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -107,37 +108,43 @@
     @Nested
     inner class `when an instance cannot know that an endpoint has turned cold` {
         private val knowledge = EndpointKnowledge()
+
         private var now = MonotonicTime.ZERO + 1.days
 
+        private fun isSufficient() = knowledge.isSufficient(now, now.agesWithoutSuspension())
+
+        private fun recordActivity(evidenceAge: Duration?, isAlone: Boolean) =
+            knowledge.recordActivity(evidenceAge, isAlone, now, now.agesWithoutSuspension())
+
         private fun run(duration: Duration, evidenceAge: Duration?, isAlone: Boolean) {
             val end = now + duration
             while (now < end) {
                 now += 100.milliseconds
-                knowledge.recordActivity(evidenceAge, isAlone, now)
+                recordActivity(evidenceAge, isAlone)
             }
         }
 
         @Test
         fun `a suspension counts until a call for endpoints that began later is answered`() {
             run(1.seconds, evidenceAge = 500.milliseconds, isAlone = false)
-            assertTrue(knowledge.isSufficient(now))
+            assertTrue(isSufficient())
             now += 5.seconds
-            assertTrue(!knowledge.isSufficient(now), "before the first task after the suspension")
-            knowledge.recordActivity(5.seconds, isAlone = false, now)
-            assertTrue(!knowledge.isSufficient(now), "the evidence is from before the suspension")
+            assertTrue(!isSufficient(), "before the first task after the suspension")
+            recordActivity(5.seconds, isAlone = false)
+            assertTrue(!isSufficient(), "the evidence is from before the suspension")
             now += 300.milliseconds
-            knowledge.recordActivity(200.milliseconds, isAlone = false, now)
-            assertTrue(knowledge.isSufficient(now))
+            recordActivity(200.milliseconds, isAlone = false)
+            assertTrue(isSufficient())
         }
 
         @Test
         fun `an outage of the store alone does not limit the fleet, being cut off does`() {
             run(1.seconds, evidenceAge = 20.seconds, isAlone = false)
-            assertTrue(knowledge.isSufficient(now))
+            assertTrue(isSufficient())
             run(1.seconds, evidenceAge = 20.seconds, isAlone = true)
-            assertTrue(!knowledge.isSufficient(now))
+            assertTrue(!isSufficient())
             run(1.seconds, evidenceAge = 500.milliseconds, isAlone = true)
-            assertTrue(knowledge.isSufficient(now))
+            assertTrue(isSufficient())
         }
     }
 
--- a/decisions/src/test/kotlin/org/nutmegspring/order/EngineOrderRulesSpec.kt
+++ b/decisions/src/test/kotlin/org/nutmegspring/order/EngineOrderRulesSpec.kt
@@ -59,7 +59,12 @@
         private val quietUntil = closedAt + 1.seconds
 
         private fun canSend(validUntil: MonotonicTime, quietUntil: MonotonicTime = this.quietUntil): Boolean =
-            rules.canSend(HeldLease(FencingToken(4), validUntil), FencingToken(4), answeredAt, quietUntil)
+            rules.canSend(
+                HeldLease(FencingToken(4), MonotonicTime.ZERO, validUntil - MonotonicTime.ZERO),
+                FencingToken(4),
+                answeredAt,
+                quietUntil,
+            )
 
         @Test
         fun `sends only when the lease outlasts the request limit of the connection`() {
@@ -74,7 +79,7 @@
 
         @Test
         fun `sends nothing under a lease with another fencing number or without one`() {
-            val held = HeldLease(FencingToken(5), closedAt + 1.seconds)
+            val held = HeldLease(FencingToken(5), closedAt, 1.seconds)
             assertFalse(rules.canSend(held, FencingToken(4), answeredAt, quietUntil))
             assertFalse(rules.canSend(null, FencingToken(4), answeredAt, quietUntil))
         }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/DutyCaller.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/duties/DutyCaller.kt
@@ -8,6 +8,7 @@
 import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.lease.HeldLease
 import org.nutmegspring.platform.StoreFailure
+import org.nutmegspring.time.AgeClock
 import org.nutmegspring.time.MonotonicClock
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration
@@ -20,6 +21,7 @@
     private val heldLease: () -> HeldLease?,
     private val calls: DutyCalls,
     val clock: MonotonicClock,
+    private val ages: AgeClock,
     private val log: DecisionLog,
 ) {
     private var callsInFlight = 0
@@ -39,7 +41,7 @@
         send: suspend DutyCalls.(DutyHolder, Duration) -> Either<StoreFailure, Unit>,
     ): Boolean {
         val lease = heldLease() ?: return false
-        if (!lease.isValidThrough(clock.now(), CALL_TIMEOUT)) return false
+        if (!lease.isValidThrough(ages, CALL_TIMEOUT)) return false
         callsInFlight++
         val result = try {
             calls.send(DutyHolder(self, lease.fencing), CALL_TIMEOUT)
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/ColdEndpoints.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/ColdEndpoints.kt
@@ -6,6 +6,7 @@
 import org.nutmegspring.limits.ColdPolicy
 import org.nutmegspring.limits.ColdSource
 import org.nutmegspring.limits.EndpointKnowledge
+import org.nutmegspring.time.AgeClock
 import org.nutmegspring.time.MonotonicClock
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration
@@ -18,6 +19,7 @@
  */
 class ColdEndpoints(
     private val clock: MonotonicClock,
+    private val ages: AgeClock,
     private val findPolicy: (ServiceId) -> ColdPolicy?,
     private val isFleetKnown: () -> Boolean,
 ) {
@@ -40,7 +42,7 @@
 
     /** Records that this instance runs, as [EndpointKnowledge.recordActivity]. */
     fun recordActivity(evidenceAge: Duration?, isAlone: Boolean) =
-        knowledge.recordActivity(evidenceAge, isAlone, clock.now())
+        knowledge.recordActivity(evidenceAge, isAlone, clock.now(), ages)
 
     /** Records a new endpoint [state]. [former] describes the endpoint that was removed under the same id. */
     fun recordAppearance(state: EndpointState, isFirstListing: Boolean, former: ServingEndpoint?) {
@@ -69,7 +71,7 @@
     /** Returns what [state] may get while it is cold, null when it is not cold or not limited. */
     fun findAllowance(state: EndpointState): ColdAllowance? {
         val now = clock.now()
-        val isKnown = knowledge.isSufficient(now)
+        val isKnown = knowledge.isSufficient(now, ages)
         if (isKnown && !state.coldness.isSuspect(now)) return null
         val policy = findPolicy(state.endpoint.service) ?: return null
         val stated = state.coldness.remaining(policy.coldTime, now)
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointListCurrency.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/endpoints/EndpointListCurrency.kt
@@ -1,7 +1,7 @@
 package org.nutmegspring.gateway.endpoints
 
 import org.nutmegspring.currency.FreshnessEvidence
-import org.nutmegspring.time.MonotonicTime
+import org.nutmegspring.time.AgeClock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -19,16 +19,16 @@
     private val configuration: FreshnessEvidence,
     private val departureTime: () -> Duration,
 ) {
-    /** Whether the list is behind at [now], so that requests may reach endpoints that have left. */
-    fun isBehind(now: MonotonicTime): Boolean {
+    /** Whether the list is behind by [ages], so that requests may reach endpoints that have left. */
+    fun isBehind(ages: AgeClock): Boolean {
         if (!endpoints.isFeedLost) return false
-        val age = endpoints.evidence.age(now) ?: return true
-        val configurationAge = configuration.age(now) ?: return false
+        val age = endpoints.evidence.age(ages) ?: return true
+        val configurationAge = configuration.age(ages) ?: return false
         return age > departureTime() * DISPATCH_SHARE && age - configurationAge > MAXIMUM_LAG
     }
 
-    /** Whether the list is recent enough at [now] for an instance that starts to serve. */
-    fun isRecent(now: MonotonicTime): Boolean = endpoints.evidence.isYoungerThan(departureTime(), now)
+    /** Whether the list is recent enough by [ages] for an instance that starts to serve. */
+    fun isRecent(ages: AgeClock): Boolean = endpoints.evidence.isYoungerThan(departureTime(), ages)
 
     private companion object {
         /** The rest of the time is for requests that were admitted before. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Admission.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/Admission.kt
@@ -8,7 +8,7 @@
 import org.nutmegspring.gateway.configuration.ServingConfiguration
 import org.nutmegspring.gateway.wire.RequestFacts
 import org.nutmegspring.identity.ServiceId
-import org.nutmegspring.time.MonotonicClock
+import org.nutmegspring.time.AgeClock
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -58,7 +58,7 @@
  */
 class Admission(
     private val currentConfiguration: CurrentConfiguration,
-    private val clock: MonotonicClock,
+    private val ages: AgeClock,
     private val random: Random,
     private val isEndpointListBehind: () -> Boolean,
     private val bounds: () -> AdmissionBounds,
@@ -92,7 +92,7 @@
         val owner =
             configuration.findOrganisation(key) ?: raise(deferIfStale(Refusal.Unauthenticated("the key is unknown")))
         val limit = bounds().maximumEvidenceAge
-        if (limit != null && !currentConfiguration.hasEvidence(limit, clock.now())) {
+        if (limit != null && !currentConfiguration.hasEvidence(limit, ages)) {
             return createUnavailable("it is not proved that the key still holds").left()
         }
         owner
@@ -100,7 +100,7 @@
 
     /** Replaces [refusal] by [Refusal.Unavailable] while the freshness evidence is not recent. */
     private fun deferIfStale(refusal: Refusal): Refusal =
-        if (currentConfiguration.hasEvidence(bounds().maximumPropagationDelay, clock.now())) {
+        if (currentConfiguration.hasEvidence(bounds().maximumPropagationDelay, ages)) {
             refusal
         } else {
             createUnavailable("${refusal.reason}, and a newer configuration may exist")
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/RequestRecorder.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/RequestRecorder.kt
@@ -11,6 +11,7 @@
 import org.nutmegspring.gateway.observe.RequestTrace
 import org.nutmegspring.gateway.observe.StopPhase
 import org.nutmegspring.identity.RequestId
+import org.nutmegspring.time.AgeClock
 import org.nutmegspring.time.MonotonicClock
 
 /** How a request ended. [status] is 0 when no answer was completed, and [reason] null when one was delivered. */
@@ -20,6 +21,7 @@
 class RequestRecorder(
     private val currentConfiguration: CurrentConfiguration,
     private val clock: MonotonicClock,
+    private val ages: AgeClock,
     private val log: DecisionLog,
     private val metrics: GatewayMetrics,
     private val loopDelay: EventLoopDelay,
@@ -67,7 +69,7 @@
 
     private fun createBasis() = DecisionBasis(
         currentConfiguration.configuration?.version,
-        currentConfiguration.evidenceAge(clock.now()),
+        currentConfiguration.evidenceAge(ages),
         stop.progress,
         loopDelay.readDelay(clock.now()),
     )
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
@@ -13,6 +13,7 @@
 import org.nutmegspring.quota.PeerCharges
 import org.nutmegspring.quota.QuotaDecision
 import org.nutmegspring.quota.SharedQuota
+import org.nutmegspring.time.AgeClock
 import org.nutmegspring.time.MonotonicClock
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration
@@ -54,11 +55,11 @@
         behindSince = if (isBehind) behindSince ?: now else null
     }
 
-    /** Returns the age at [now] of the evidence that the configuration is the newest, or null without evidence. */
-    fun evidenceAge(now: MonotonicTime): Duration? = evidence.age(now)
+    /** Returns the age by [ages] of the evidence that the configuration is the newest, or null without evidence. */
+    fun evidenceAge(ages: AgeClock): Duration? = evidence.age(ages)
 
-    /** Whether there is evidence at [now] that is less than [limit] old. */
-    fun hasEvidence(limit: Duration, now: MonotonicTime): Boolean = evidence.isYoungerThan(limit, now)
+    /** Whether there is evidence that is less than [limit] old by [ages]. */
+    fun hasEvidence(limit: Duration, ages: AgeClock): Boolean = evidence.isYoungerThan(limit, ages)
 
     /** Applies [offered] if it is newer than the current configuration. Returns whether it was applied. */
     fun offer(offered: ServingConfiguration): Boolean {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnection.kt
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import kotlinx.coroutines.channels.ReceiveChannel
+import org.nutmegspring.time.AgeClock
 import org.nutmegspring.time.MonotonicClock
 import org.nutmegspring.time.MonotonicTime
 import java.io.IOException
@@ -83,9 +84,8 @@
     /** The last part of the body that the receiver has not taken yet, null if there is none. */
     private var openPart: AnswerPart.Body? = null
 
-    /** When the endpoint may close the connection if it stays idle. */
-    var idleDeadline: MonotonicTime = MonotonicTime.ZERO
-        private set
+    private var answeredAt = MonotonicTime.ZERO
+    private var idleTime = Duration.ZERO
 
     /** Whether the connection carries no request, so that every byte received on it belongs to none. */
     val isIdle: Boolean get() = parts == null
@@ -93,6 +93,9 @@
     /** Whether the connection is open, carries no request and may carry another one. */
     val isUsable: Boolean get() = channel.isActive && isIdle && isReusable
 
+    /** Whether the endpoint may have closed the idle connection, by [ages]. */
+    fun isOutdated(ages: AgeClock): Boolean = ages.ageOf(answeredAt) >= idleTime
+
     override fun handlerAdded(context: ChannelHandlerContext) {
         channel = context.channel()
     }
@@ -195,7 +198,8 @@
 
             else -> {
                 if (!HttpUtil.isKeepAlive(response)) isReusable = false
-                idleDeadline = clock.now() + computeIdleTime(response.headers())
+                answeredAt = clock.now()
+                idleTime = computeIdleTime(response.headers())
                 answer.trySend(AnswerPart.Head(status, response.headers()))
             }
         }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnections.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/http/EndpointConnections.kt
@@ -18,7 +18,9 @@
 import org.nutmegspring.failure.Failure
 import org.nutmegspring.failure.Peer
 import org.nutmegspring.failure.Step
+import org.nutmegspring.time.AgeClock
 import org.nutmegspring.time.MonotonicClock
+import org.nutmegspring.time.agesWithoutSuspension
 import java.net.ConnectException
 import java.net.InetAddress
 import java.net.InetSocketAddress
@@ -41,12 +43,14 @@
  * Pools connections to endpoints and the platform by address. Not thread-safe: used on the event loop only.
  *
  * @property memory counts the bytes of all answers that are held
+ * @param ages measures how long connections have been idle
  */
 class EndpointConnections(
     private val loop: EventLoop,
     private val clock: MonotonicClock,
     private val connectTimeout: Duration,
     val memory: AnswerMemory = AnswerMemory(),
+    private val ages: AgeClock = clock.agesWithoutSuspension(),
 ) {
     private val idle = HashMap<String, ArrayDeque<EndpointConnection>>()
 
@@ -134,10 +138,9 @@
     /** Returns the connection that became idle last among those that have not carried [requestId]. */
     private fun takeIdle(address: String, requestId: String?): EndpointConnection? {
         val pooled = idle[address] ?: return null
-        val now = clock.now()
         for (index in pooled.indices.reversed()) {
             val connection = pooled[index]
-            if (!connection.isUsable || connection.idleDeadline <= now) {
+            if (!connection.isUsable || connection.isOutdated(ages)) {
                 pooled.removeAt(index)
                 connection.close()
             } else if (requestId == null || !connection.hasCarried(requestId)) {
@@ -165,8 +168,7 @@
 
     private fun addIdle(address: String, connection: EndpointConnection) {
         val pooled = idle.getOrPut(address) { ArrayDeque() }
-        val now = clock.now()
-        while (pooled.isNotEmpty() && pooled.first().idleDeadline <= now) pooled.removeFirst().close()
+        while (pooled.isNotEmpty() && pooled.first().isOutdated(ages)) pooled.removeFirst().close()
         if (pooled.size >= MAXIMUM_IDLE) pooled.removeFirst().close()
         pooled.addLast(connection)
     }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/EvacuationListener.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/EvacuationListener.kt
@@ -9,7 +9,7 @@
 import org.nutmegspring.gateway.store.FeedPace
 import org.nutmegspring.gateway.store.Listing
 import org.nutmegspring.identity.DataCentreId
-import org.nutmegspring.time.MonotonicClock
+import org.nutmegspring.time.AgeClock
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -19,12 +19,12 @@
 /** Applies the evacuations that the store shows. The name of an object counts, also where its value is unreadable. */
 internal class EvacuationListener(
     private val evacuations: EvacuationState,
-    private val clock: MonotonicClock,
+    private val ages: AgeClock,
     private val log: DecisionLog,
 ) : LoggedFeedListener<DataCentreId>("evacuations", log) {
     override fun onListed(listing: Listing<DataCentreId>, callStartedAt: MonotonicTime, regainedAt: MonotonicTime?) {
         val shown = listing.entries.map { DataCentreId(it.name) }.toSet()
-        record(evacuations.applyListing(shown, listing.position.era, callStartedAt, clock.now()))
+        record(evacuations.applyListing(shown, listing.position.era, callStartedAt, ages))
     }
 
     override fun onChanged(
@@ -32,19 +32,18 @@
         callStartedAt: MonotonicTime,
         regainedAt: MonotonicTime?,
     ) {
-        val now = clock.now()
         for (event in events) {
             when (event) {
                 is FeedEvent.Changed -> {
-                    record(evacuations.applyCreation(DataCentreId(event.entry.name), callStartedAt, now))
+                    record(evacuations.applyCreation(DataCentreId(event.entry.name), callStartedAt, ages))
                 }
 
                 is FeedEvent.Removed -> {
-                    record(evacuations.applyDeletion(DataCentreId(event.name), callStartedAt, now))
+                    record(evacuations.applyDeletion(DataCentreId(event.name), callStartedAt, ages))
                 }
             }
         }
-        record(evacuations.confirm(callStartedAt, now))
+        record(evacuations.confirm(callStartedAt, ages))
     }
 
     private fun record(changes: List<EvacuationChange>) =
@@ -74,9 +73,9 @@
 }
 
 /** Registers the gauges of the evacuations with [metrics]. */
-internal fun EvacuationState.registerGauges(metrics: GatewayMetrics, clock: MonotonicClock) {
-    metrics.registerGauge("gateway_evacuated_data_centres") { inForce(clock.now()).size.toDouble() }
+internal fun EvacuationState.registerGauges(metrics: GatewayMetrics, ages: AgeClock) {
+    metrics.registerGauge("gateway_evacuated_data_centres") { inForce(ages).size.toDouble() }
     metrics.registerGauge("gateway_evacuation_evidence_age_seconds") {
-        evidenceAge(clock.now())?.toDouble(DurationUnit.SECONDS) ?: -1.0
+        evidenceAge(ages)?.toDouble(DurationUnit.SECONDS) ?: -1.0
     }
 }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayInstance.kt
@@ -64,7 +64,7 @@
 import org.nutmegspring.placement.PlacementRule
 import org.nutmegspring.placement.ServicePlacement
 import org.nutmegspring.time.MonotonicTime
-import org.nutmegspring.time.SuspensionAwareClock
+import org.nutmegspring.time.SuspensionAwareAges
 import org.nutmegspring.time.systemMonotonicClock
 import org.nutmegspring.usage.WindowCounts
 import kotlin.random.Random
@@ -78,6 +78,7 @@
     platformFactory: PlatformFactory,
     private val log: DecisionLog,
     endProcess: (String) -> Unit,
+    private val wallClockMilliseconds: () -> Long,
 ) {
     private var settings = initial
     private val loop = EventLoop { endProcess("the memory is exhausted: $it") }
@@ -92,12 +93,13 @@
     }
     private val scope = CoroutineScope(loop.dispatcher + SupervisorJob() + failures)
     private val tasks = LastingTasks(scope, log)
-    private val clock = SuspensionAwareClock(systemMonotonicClock(), System::currentTimeMillis)
+    private val clock = systemMonotonicClock()
+    private val ages = SuspensionAwareAges(clock, wallClockMilliseconds)
     private val random = Random.Default
     private val self = initial.instance.id
     private val incarnation = Incarnation(random.nextLong())
-    private val startedAtMilliseconds = System.currentTimeMillis()
-    private val connections = EndpointConnections(loop, clock, CONNECT_TIMEOUT)
+    private val startedAtMilliseconds = wallClockMilliseconds()
+    private val connections = EndpointConnections(loop, clock, CONNECT_TIMEOUT, ages = ages)
     private val history =
         StoreHistory(clock) { previous, era -> log.record(DecisionEvent.StoreRestored(previous, era)) }
     private val platform = platformFactory(connections, initial.platform, history) {
@@ -112,15 +114,15 @@
         log,
     )
     private val currentConfiguration = CurrentConfiguration(log)
-    private val quotas = QuotaTable(clock) { settings.bounds.toQuotaWindow() }
+    private val quotas = QuotaTable(clock, wallClockMilliseconds) { settings.bounds.toQuotaWindow() }
     private val peers = PeerTable(self, incarnation)
     private val turns =
-        InstanceTurns(self, { peers.registered.keys }) { System.currentTimeMillis().milliseconds }
+        InstanceTurns(self, { peers.registered.keys }) { wallClockMilliseconds().milliseconds }
     private val errors = EndpointErrors(clock, log)
 
     /** Null where the settings had no bound for evacuations at the start. */
     private val evacuations = initial.bounds.evacuationMilliseconds?.let { EvacuationState(it.milliseconds) }
-    private val cold = ColdEndpoints(clock, ::findColdPolicy) { peers.isListed }
+    private val cold = ColdEndpoints(clock, ages, ::findColdPolicy) { peers.isListed }
     private val restraints = EndpointRestraints(clock, log)
     private val endpoints = EndpointTable(
         ::findCacheCapacity,
@@ -193,6 +195,7 @@
             demands = demands,
         ),
         clock,
+        ages,
         log,
     )
     private val reports =
@@ -209,7 +212,7 @@
         usage,
         duties,
         pacing,
-        clock,
+        InstanceClocks(clock, ages),
     )
     private val exchange: PeerExchange by lazy {
         PeerExchange(loop, settings.addresses.exchange, pacing, InstanceReceiver(reports, { feeds.inquiry }, log))
@@ -221,6 +224,7 @@
         phase = { phase },
         ask = { address, question -> exchange.ask(address, question) },
         clock,
+        ages,
         random,
     )
 
@@ -234,7 +238,7 @@
             crashGuard,
             loopDelay,
             feeds.inquiry,
-            clock,
+            InstanceClocks(clock, ages),
             { history.era.value },
             duties,
         )
@@ -259,7 +263,7 @@
 
     private fun updateColdEndpoints(now: MonotonicTime) {
         val isAlone = peers.registered.isNotEmpty() && peers.liveReports(now).isEmpty()
-        cold.recordActivity(endpoints.evidence.age(now), isAlone)
+        cold.recordActivity(endpoints.evidence.age(ages), isAlone)
         limits.logCold()
     }
 
@@ -268,7 +272,7 @@
         // Opens the exchange, which what the servers answer depends on.
         gauges.register(metrics)
         callerMemory.budget.registerGauges(metrics)
-        evacuations?.registerGauges(metrics, clock)
+        evacuations?.registerGauges(metrics, ages)
         metrics.registerGauge("gateway_cold_endpoints") { limits.countCold().toDouble() }
         metrics.registerGauge("gateway_running_requests") { running.count.toDouble() }
         metrics.registerGauge("gateway_failing_endpoints_avoided") { errors.avoidedCount.toDouble() }
@@ -321,9 +325,9 @@
     private fun createGatewayHandler(): RequestHandler {
         val admission = Admission(
             currentConfiguration,
-            clock,
+            ages,
             random,
-            { listCurrency.isBehind(clock.now()) },
+            { listCurrency.isBehind(ages) },
             { settings.bounds.toAdmissionBounds() },
         )
         return GatewayHandler(
@@ -334,7 +338,7 @@
             running,
             clock,
             loopDelay,
-            RequestRecorder(currentConfiguration, clock, log, metrics, loopDelay, stopLog),
+            RequestRecorder(currentConfiguration, clock, ages, log, metrics, loopDelay, stopLog),
             log,
             random,
         )
@@ -357,7 +361,7 @@
         feeds.follow(tasks, "endpoints", platform.endpoints, endpointListener, InstanceFeeds.ENDPOINT_PACE)
         if (evacuations != null) {
             val pace = EvacuationListener.paceFor(evacuations.retention)
-            val listener = EvacuationListener(evacuations, clock, log)
+            val listener = EvacuationListener(evacuations, ages, log)
             feeds.follow(tasks, "evacuations", platform.evacuations, listener, pace)
         }
         val kind = InstanceRegistration.KIND
@@ -378,7 +382,7 @@
             crashGuard.update()
             quotas.updateMembers(peers.registered.keys)
             demands.sample()
-            val isServing = currentConfiguration.configuration != null && listCurrency.isRecent(now) &&
+            val isServing = currentConfiguration.configuration != null && listCurrency.isRecent(ages) &&
                 evacuations?.isListed ?: true
             if (phase == InstancePhase.JOINING && isServing) {
                 phase = InstancePhase.READY
@@ -394,14 +398,14 @@
         }
     }
 
-    private fun isReady(): Boolean = phase == InstancePhase.READY && !listCurrency.isBehind(clock.now()) &&
-        currentConfiguration.hasEvidence(maximumReadyEvidenceAge(), clock.now())
+    private fun isReady(): Boolean = phase == InstancePhase.READY && !listCurrency.isBehind(ages) &&
+        currentConfiguration.hasEvidence(maximumReadyEvidenceAge(), ages)
 
     private fun maximumReadyEvidenceAge(): Duration =
         settings.bounds.revocationMilliseconds?.milliseconds ?: Duration.INFINITE
 
     private fun listCallerTargets(): List<CallerTarget> {
-        val age = currentConfiguration.evidenceAge(clock.now())?.inWholeMilliseconds
+        val age = currentConfiguration.evidenceAge(ages)?.inWholeMilliseconds
         val own = CallerTarget(settings.addresses.callers, settings.instance.dataCentre)
         return peers.callerTargets(OwnAddress(own, isReady(), age), clock.now())
     }
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayStart.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/GatewayStart.kt
@@ -23,6 +23,7 @@
  * and nothing of the instance keeps running.
  *
  * @param endProcess ends the process after a line with the reason, when memory is exhausted or the event loop hangs
+ * @param wallClockMilliseconds reads the wall clock, in milliseconds since the epoch
  */
 fun startGateway(
     settings: GatewaySettings,
@@ -30,8 +31,9 @@
     platformFactory: PlatformFactory,
     isStopRequested: () -> Boolean,
     endProcess: (String) -> Unit = {},
+    wallClockMilliseconds: () -> Long = System::currentTimeMillis,
 ): GatewayInstance? {
-    val instance = GatewayInstance(settings, platformFactory, log, endProcess)
+    val instance = GatewayInstance(settings, platformFactory, log, endProcess, wallClockMilliseconds)
     var isStarted = false
     try {
         if (isStopRequested()) return null
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceDuties.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceDuties.kt
@@ -27,6 +27,7 @@
 import org.nutmegspring.roles.RoleBalancer
 import org.nutmegspring.spending.FleetDemand
 import org.nutmegspring.spending.FleetSizing
+import org.nutmegspring.time.AgeClock
 import org.nutmegspring.time.MonotonicClock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -59,6 +60,7 @@
     private val platform: PlatformPorts,
     private val inputs: DutyInputs,
     private val clock: MonotonicClock,
+    private val ages: AgeClock,
     private val log: DecisionLog,
 ) {
     private val duty = Duty.UsageWindows(0)
@@ -76,9 +78,10 @@
         desiredRole = ::desiredRole,
         // Releases only while stopping, when no further call is made; an instance that is ready again keeps the lease.
         canRelease = { isStopping && caller.isDrained() },
+        ages = ages,
     )
     private val isStopping: Boolean get() = inputs.phase() == InstancePhase.DRAINING
-    private val caller: DutyCaller = DutyCaller(self.instance, ::activeLease, platform.duties, clock, log)
+    private val caller: DutyCaller = DutyCaller(self.instance, ::activeLease, platform.duties, clock, ages, log)
     private val endpointOrderer =
         EndpointOrderer(caller, inputs.services, inputs.endpoints, FleetSizing(), inputs.demands::find, log)
     private val roleOrderer =
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceFeeds.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceFeeds.kt
@@ -11,6 +11,7 @@
 import org.nutmegspring.identity.DataCentreId
 import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.membership.InstancePhase
+import org.nutmegspring.time.AgeClock
 import org.nutmegspring.time.MonotonicClock
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -28,10 +29,11 @@
     private val phase: () -> InstancePhase,
     ask: (String, FeedQuestion) -> Unit,
     private val clock: MonotonicClock,
+    private val ages: AgeClock,
     private val random: Random,
 ) {
     /** Asks the relays, and answers for this instance where it is one. */
-    val inquiry = FeedInquiry(::findRelays, ask, clock, random)
+    val inquiry = FeedInquiry(::findRelays, ask, clock, ages, random)
 
     /** Follows [feed], called [name], at [pace] as one of [tasks]. */
     fun <T : Any> follow(
@@ -41,7 +43,8 @@
         listener: FeedListener<T>,
         pace: FeedPace,
     ) {
-        tasks.start("feed of $name") { FeedFollower(feed, listener, clock, pace, random, inquiry.witness(name)).run() }
+        val witness = inquiry.witness(name)
+        tasks.start("feed of $name") { FeedFollower(feed, listener, clock, ages, pace, random, witness).run() }
     }
 
     private fun findRelays(): List<String> {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/InstanceGauges.kt
@@ -12,7 +12,6 @@
 import org.nutmegspring.gateway.store.FeedInquiry
 import org.nutmegspring.memory.MemoryBudget
 import org.nutmegspring.platform.StoreEra
-import org.nutmegspring.time.MonotonicClock
 import kotlin.time.DurationUnit
 
 /** The state of an instance as gauges and as snapshots for the log. */
@@ -25,7 +24,7 @@
     private val crashGuard: CrashGuard,
     private val loopDelay: EventLoopDelay,
     private val inquiry: FeedInquiry,
-    private val clock: MonotonicClock,
+    private val clocks: InstanceClocks,
     private val storeEra: () -> StoreEra?,
     private val duties: InstanceDuties,
 ) {
@@ -35,11 +34,11 @@
             currentConfiguration.configuration?.version?.toDouble() ?: 0.0
         }
         metrics.registerGauge("gateway_evidence_age_seconds") {
-            currentConfiguration.evidenceAge(clock.now())?.let { it.inWholeMilliseconds / MILLISECONDS_PER_SECOND }
+            currentConfiguration.evidenceAge(clocks.ages)?.let { it.inWholeMilliseconds / MILLISECONDS_PER_SECOND }
                 ?: -1.0
         }
         metrics.registerGauge("gateway_endpoint_evidence_age_seconds") {
-            endpoints.evidence.age(clock.now())?.toDouble(DurationUnit.SECONDS) ?: -1.0
+            endpoints.evidence.age(clocks.ages)?.toDouble(DurationUnit.SECONDS) ?: -1.0
         }
         metrics.registerGauge("gateway_event_loop_delay_seconds") { loopDelay.last.toDouble(DurationUnit.SECONDS) }
         metrics.registerGauge("gateway_report_sent_bytes") { traffic.sentBytes.toDouble() }
@@ -50,7 +49,7 @@
         metrics.registerGauge("gateway_feed_outdated_replica_reads") { inquiry.outdatedReplicaReads.toDouble() }
         metrics.registerGauge("gateway_relay_answers") { inquiry.answeredQuestions.toDouble() }
         metrics.registerGauge("gateway_registered_peers") { peers.registered.size.toDouble() }
-        metrics.registerGauge("gateway_live_peers") { peers.liveReports(clock.now()).size.toDouble() }
+        metrics.registerGauge("gateway_live_peers") { peers.liveReports(clocks.monotonic.now()).size.toDouble() }
         metrics.registerGauge("gateway_connections_opened") { connections.openedCount.toDouble() }
         metrics.registerGauge("gateway_connections_with_stray_bytes") { connections.strayBytesCount.toDouble() }
         metrics.registerGauge("gateway_answer_held_bytes") { connections.memory.heldBytes.toDouble() }
@@ -88,12 +87,12 @@
 
     /** Returns a snapshot. The longest delay of the event loop is counted from the previous one. */
     fun takeStatus() = StatusSnapshot(
-        livePeers = peers.liveReports(clock.now()).size,
+        livePeers = peers.liveReports(clocks.monotonic.now()).size,
         registeredPeers = peers.registered.size,
         sentBytes = traffic.sentBytes,
         receivedBytes = traffic.receivedBytes,
         reportBytes = traffic.reportBytes,
-        endpointEvidenceAge = endpoints.evidence.age(clock.now()),
+        endpointEvidenceAge = endpoints.evidence.age(clocks.ages),
         longestLoopDelay = loopDelay.takeLongest(),
     )
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/ReportComposer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/ReportComposer.kt
@@ -7,12 +7,12 @@
 import org.nutmegspring.gateway.peers.AddressedReport
 import org.nutmegspring.gateway.peers.PeerReport
 import org.nutmegspring.gateway.peers.PeerTable
+import org.nutmegspring.gateway.peers.ReportEntries
 import org.nutmegspring.gateway.peers.ReportPacing
 import org.nutmegspring.gateway.peers.WindowReport
 import org.nutmegspring.identity.InstanceId
 import org.nutmegspring.lease.LeaseHolder
 import org.nutmegspring.membership.InstancePhase
-import org.nutmegspring.time.MonotonicClock
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -35,7 +35,7 @@
     private val usage: UsageCounter,
     private val duties: InstanceDuties,
     private val pacing: ReportPacing,
-    private val clock: MonotonicClock,
+    private val clocks: InstanceClocks,
 ) {
     private var sequence = 0L
     private var usageSentAt: MonotonicTime? = null
@@ -45,32 +45,9 @@
 
     /** Returns the next reports of an instance in [phase] whose reports are [interval] apart. */
     fun compose(phase: InstancePhase, interval: Duration): List<AddressedReport> {
-        val now = clock.now()
+        val now = clocks.monotonic.now()
         val entries = pacing.computeEntries(peers.registered.size)
-        val report = PeerReport(
-            instance = self.instance,
-            incarnation = self.incarnation,
-            startedAtMilliseconds = startedAtMilliseconds,
-            sequence = ++sequence,
-            intervalMilliseconds = interval.inWholeMilliseconds,
-            phase = phase,
-            configurationVersion = currentConfiguration.configuration?.version ?: 0,
-            evidenceAgeMilliseconds = currentConfiguration.evidenceAge(now)?.inWholeMilliseconds,
-            isDutyHolder = duties.isHolding,
-            changingEngines = duties.changingEngines(),
-            unreachableEndpoints = reports.nextUnreachableEndpoints(entries.endpoints),
-            charges = quotas.nextCharges(entries.charges),
-            loads = reports.nextLoads(entries.loads),
-            prefills = engineChoice.drainPrefillReports(entries.prefills),
-            limits = reports.nextLimits(entries.limits),
-            speeds = reports.nextSpeeds(entries.limits),
-            coldEndpoints = reports.nextColdEndpoints(entries.limits),
-            hasTraffic = reports.hasTraffic,
-            promptParts = reports.nextPromptParts(entries.promptParts),
-            storeEra = reports.storeEra.value,
-            storeEraAgeMilliseconds = reports.storeEraAge().inWholeMilliseconds,
-            chargeCoverageMilliseconds = quotas.findCoverage()?.inWholeMilliseconds,
-        )
+        val report = createReport(phase, interval, entries, now)
         val usageReaders = if (isUsageDue(now)) peers.dutyHolders(now) + duties.participants() else emptySet()
         val starting = nextStartingPeers(now)
         val groups = peers.registered.entries.groupBy({
@@ -84,6 +61,36 @@
         }
     }
 
+    private fun createReport(
+        phase: InstancePhase,
+        interval: Duration,
+        entries: ReportEntries,
+        now: MonotonicTime,
+    ): PeerReport = PeerReport(
+        instance = self.instance,
+        incarnation = self.incarnation,
+        startedAtMilliseconds = startedAtMilliseconds,
+        sequence = ++sequence,
+        intervalMilliseconds = interval.inWholeMilliseconds,
+        phase = phase,
+        configurationVersion = currentConfiguration.configuration?.version ?: 0,
+        evidenceAgeMilliseconds = currentConfiguration.evidenceAge(clocks.ages)?.inWholeMilliseconds,
+        isDutyHolder = duties.isHolding,
+        changingEngines = duties.changingEngines(),
+        unreachableEndpoints = reports.nextUnreachableEndpoints(entries.endpoints),
+        charges = quotas.nextCharges(entries.charges),
+        loads = reports.nextLoads(entries.loads),
+        prefills = engineChoice.drainPrefillReports(entries.prefills),
+        limits = reports.nextLimits(entries.limits),
+        speeds = reports.nextSpeeds(entries.limits),
+        coldEndpoints = reports.nextColdEndpoints(entries.limits),
+        hasTraffic = reports.hasTraffic,
+        promptParts = reports.nextPromptParts(entries.promptParts),
+        storeEra = reports.storeEra.value,
+        storeEraAgeMilliseconds = reports.storeEraAge().inWholeMilliseconds,
+        chargeCoverageMilliseconds = quotas.findCoverage()?.inWholeMilliseconds,
+    )
+
     private fun withChargeHistory(report: PeerReport, organisations: Int): PeerReport =
         report.copy(chargeHistory = quotas.createHistory(organisations))
 
@@ -111,7 +118,7 @@
 
     private fun withUsage(report: PeerReport): PeerReport = reports.addDemands(report).copy(
         windows = usage.snapshot().map { (window, requests) -> WindowReport(window, requests) }.takeLast(SENT_WINDOWS),
-        endedProcesses = peers.nextEndedProcesses(clock.now()),
+        endedProcesses = peers.nextEndedProcesses(clocks.monotonic.now()),
     )
 
     private companion object {
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/store/FeedFollower.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/store/FeedFollower.kt
@@ -5,6 +5,7 @@
 import org.nutmegspring.currency.StatementVerdict
 import org.nutmegspring.currency.judgeStatement
 import org.nutmegspring.platform.StoreFailure
+import org.nutmegspring.time.AgeClock
 import org.nutmegspring.time.MonotonicClock
 import org.nutmegspring.time.MonotonicTime
 import kotlin.random.Random
@@ -40,6 +41,7 @@
     private val feed: StoreFeed<T>,
     private val listener: FeedListener<T>,
     private val clock: MonotonicClock,
+    private val ages: AgeClock,
     private val pace: FeedPace,
     private val random: Random,
     private val witness: FeedWitness = FeedWitness.None,
@@ -63,7 +65,7 @@
         val asked = witness.awaitStatement() ?: return followChanges(position, ownWait())
         val maximumAge = pace.maximumStatementAge
         val verdict =
-            judgeStatement(asked.statement, position.era, position.revision, asked.askedAt, clock.now(), maximumAge)
+            judgeStatement(asked.statement, position.era, position.revision, asked.askedAt, ages, maximumAge)
         return when (verdict) {
             is StatementVerdict.Current -> {
                 applyStatement(position, asked, verdict)
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/store/FeedInquiry.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/store/FeedInquiry.kt
@@ -8,6 +8,7 @@
 import org.nutmegspring.gateway.peers.FeedAnswer
 import org.nutmegspring.gateway.peers.FeedQuestion
 import org.nutmegspring.gateway.peers.FeedStatementEntry
+import org.nutmegspring.time.AgeClock
 import org.nutmegspring.time.MonotonicClock
 import org.nutmegspring.time.MonotonicTime
 import kotlin.random.Random
@@ -28,6 +29,7 @@
     private val relays: () -> List<String>,
     private val send: (String, FeedQuestion) -> Unit,
     private val clock: MonotonicClock,
+    private val ages: AgeClock,
     private val random: Random,
 ) {
     private class Round(val number: Long, val askedAt: MonotonicTime, val answer: FeedAnswer?)
@@ -95,9 +97,8 @@
 
     /** Returns the answer to [question] from what this instance knows. */
     fun answer(question: FeedQuestion): FeedAnswer {
-        val now = clock.now()
-        askedAt = now
-        return FeedAnswer(question.nonce, progress.mapValues { FeedStatementEntry.of(it.value.toStatement(now)) })
+        askedAt = clock.now()
+        return FeedAnswer(question.nonce, progress.mapValues { FeedStatementEntry.of(it.value.toStatement(ages)) })
     }
 
     /** Takes the answer of a relay. One to an earlier question is passed over. */
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/store/FeedWitness.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/store/FeedWitness.kt
@@ -1,6 +1,7 @@
 package org.nutmegspring.gateway.store
 
 import org.nutmegspring.currency.FeedStatement
+import org.nutmegspring.time.AgeClock
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -20,9 +21,9 @@
     val provenAt: MonotonicTime,
     val regainedAt: MonotonicTime?,
 ) {
-    /** Returns what this proves at [now] to another instance. */
-    fun toStatement(now: MonotonicTime) =
-        FeedStatement(position.era, quietSince, position.revision, now - provenAt, regainedAt?.let { now - it })
+    /** Returns what this proves to another instance, by [ages]. */
+    fun toStatement(ages: AgeClock) =
+        FeedStatement(position.era, quietSince, position.revision, ages.ageOf(provenAt), regainedAt?.let(ages::ageOf))
 }
 
 /** What other instances tell a follower of its feed, and what it tells them. */
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/Fixtures.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/Fixtures.kt
@@ -20,6 +20,7 @@
 import org.nutmegspring.identity.OrganisationId
 import org.nutmegspring.identity.ServiceId
 import org.nutmegspring.platform.ListedState
+import org.nutmegspring.time.AgeClock
 import org.nutmegspring.time.MonotonicClock
 import org.nutmegspring.time.MonotonicTime
 import kotlin.time.Duration
@@ -27,11 +28,15 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** A clock that stands still until [advance] is called. */
-internal class TestClock : MonotonicClock {
+internal class TestClock :
+    MonotonicClock,
+    AgeClock {
     private var current = MonotonicTime.ZERO
 
     override fun now(): MonotonicTime = current
 
+    override fun ageOf(time: MonotonicTime): Duration = current - time
+
     fun advance(duration: Duration) {
         current += duration
     }
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/RecordedDutyCalls.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/duties/RecordedDutyCalls.kt
@@ -22,6 +22,7 @@
 import org.nutmegspring.platform.StoreFailure
 import org.nutmegspring.time.MonotonicClock
 import org.nutmegspring.time.MonotonicTime
+import org.nutmegspring.time.agesWithoutSuspension
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -66,6 +67,6 @@
 @OptIn(ExperimentalCoroutinesApi::class)
 internal fun TestScope.dutyCaller(calls: DutyCalls, isHeld: () -> Boolean = { true }): DutyCaller {
     val clock = MonotonicClock { MonotonicTime.ZERO + testScheduler.currentTime.milliseconds }
-    val lease = { HeldLease(FencingToken(1), clock.now() + 3.seconds).takeIf { isHeld() } }
-    return DutyCaller(InstanceId("a"), lease, calls, clock) { }
+    val lease = { HeldLease(FencingToken(1), clock.now(), 3.seconds).takeIf { isHeld() } }
+    return DutyCaller(InstanceId("a"), lease, calls, clock, clock.agesWithoutSuspension()) { }
 }
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/endpoints/ColdEndpointsSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/endpoints/ColdEndpointsSpec.kt
@@ -25,7 +25,7 @@
     private val clock = TestClock()
     private var policy: ColdPolicy? = ColdPolicy(3.seconds, requestsPerSecond = 9.1, overage = 1.5, slack = 5.0)
     private var isFleetKnown = true
-    private val cold = ColdEndpoints(clock, { policy }) { isFleetKnown }
+    private val cold = ColdEndpoints(clock, clock, { policy }) { isFleetKnown }
     private val turns = InstanceTurns(InstanceId("a"), { emptyList() }) { wallClock + (clock.now() - START) }
     private var wallClock = 20_000.minutes
     private val table = EndpointTable({ 1_000 }, turns, cold = cold) { _, _ -> }
@@ -163,7 +163,7 @@
     @Nested
     inner class `when another instance is told` {
         private val limits = EndpointLimits(table, clock, cold) { }
-        private val other = ColdEndpoints(clock, { policy }) { true }
+        private val other = ColdEndpoints(clock, clock, { policy }) { true }
         private val otherTable = EndpointTable({ 1_000 }, turns, cold = other) { _, _ -> }
         private val otherLimits = EndpointLimits(otherTable, clock, other) { }
 
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/forwarding/CurrentConfigurationSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/forwarding/CurrentConfigurationSpec.kt
@@ -27,14 +27,14 @@
             clock.advance(2.seconds)
             current.recordAnswer(held.version - 1, clock.now())
             current.recordAnswer(null, clock.now())
-            assertEquals(2.seconds, current.evidenceAge(clock.now()))
+            assertEquals(2.seconds, current.evidenceAge(clock))
         }
 
         @Test
         fun `an answer that shows the known version again is evidence`() {
             clock.advance(2.seconds)
             current.recordAnswer(held.version, clock.now())
-            assertEquals(Duration.ZERO, current.evidenceAge(clock.now()))
+            assertEquals(Duration.ZERO, current.evidenceAge(clock))
         }
     }
 
@@ -45,10 +45,10 @@
             current.recordReported(held.version + 1, clock.now())
             clock.advance(400.milliseconds)
             current.recordAnswer(held.version, clock.now())
-            assertEquals(400.milliseconds, current.evidenceAge(clock.now()))
+            assertEquals(400.milliseconds, current.evidenceAge(clock))
             clock.advance(200.milliseconds)
             current.recordAnswer(held.version, clock.now())
-            assertNull(current.evidenceAge(clock.now()))
+            assertNull(current.evidenceAge(clock))
         }
 
         @Test
@@ -56,7 +56,7 @@
             current.recordReported(held.version + 1, clock.now())
             clock.advance(2.seconds)
             current.recordReported(held.version + 1, clock.now())
-            assertEquals(2.seconds, current.evidenceAge(clock.now()))
+            assertEquals(2.seconds, current.evidenceAge(clock))
         }
 
         @Test
@@ -66,7 +66,7 @@
             current.offer(configurationOf(version = held.version + 1))
             current.recordAnswer(held.version + 1, clock.now())
             current.recordReported(held.version + 1, clock.now())
-            assertEquals(Duration.ZERO, current.evidenceAge(clock.now()))
+            assertEquals(Duration.ZERO, current.evidenceAge(clock))
         }
     }
 }
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/http/EndpointConnectionsSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/http/EndpointConnectionsSpec.kt
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Nested
 import org.nutmegspring.failure.Effect
 import org.nutmegspring.failure.Failure
+import org.nutmegspring.time.AgeClock
 import org.nutmegspring.time.systemMonotonicClock
 import java.net.ServerSocket
 import java.net.Socket
@@ -17,11 +18,15 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 class EndpointConnectionsSpec {
     private val loop = EventLoop()
-    private val connections = EndpointConnections(loop, systemMonotonicClock(), 2.seconds)
+    private val clock = systemMonotonicClock()
+    private var suspended = Duration.ZERO
+    private val connections =
+        EndpointConnections(loop, clock, 2.seconds, ages = AgeClock { clock.now() - it + suspended })
 
     @AfterEach
     fun closeLoop() = loop.close()
@@ -67,6 +72,16 @@
             }
         }
 
+        @Test
+        fun `a connection is not reused after a suspension that outlasts its idle time`() {
+            ScriptedServer { _, socket -> socket.answerRequest(completeAnswer("ok", "Keep-Alive: timeout=10\n")) }.use {
+                assertTrue(exchange(it).isRight())
+                suspended = 10.seconds
+                assertTrue(exchange(it).isRight())
+                assertEquals(2, it.connections)
+            }
+        }
+
         @Test
         fun `a connection is not reused after an answer with 'Connection close'`() {
             ScriptedServer { _, socket -> socket.answerRequest(completeAnswer("ok", "Connection: close\n")) }.use {
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/store/FeedFollowerSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/store/FeedFollowerSpec.kt
@@ -17,7 +17,9 @@
 import org.nutmegspring.failure.Step
 import org.nutmegspring.platform.StoreEra
 import org.nutmegspring.platform.StoreFailure
+import org.nutmegspring.time.MonotonicClock
 import org.nutmegspring.time.MonotonicTime
+import org.nutmegspring.time.agesWithoutSuspension
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -28,6 +30,9 @@
 
 @OptIn(ExperimentalCoroutinesApi::class)
 class FeedFollowerSpec {
+    private val clock = MonotonicClock { MonotonicTime.ZERO }
+    private val ages = clock.agesWithoutSuspension()
+
     private val down = StoreFailure.Unanswered(Failure(Step.READ_OBJECT, Peer.PLATFORM, Effect.UNKNOWN, "silent"))
 
     /** Returns the answers set by the test and records the calls. */
@@ -91,7 +96,7 @@
             val recorder = Recorder()
             feed.answers += FeedChanges.Events(listOf(FeedEvent.Removed("a")), FeedPosition(12, StoreEra(1)))
             backgroundScope.launch {
-                FeedFollower(feed, recorder, { MonotonicTime.ZERO }, FeedPace(1.seconds), Random(1)).run()
+                FeedFollower(feed, recorder, clock, ages, FeedPace(1.seconds), Random(1)).run()
             }
             runCurrent()
             assertEquals(listOf("list", "changes after 10", "changes after 12"), feed.calls)
@@ -103,7 +108,7 @@
             val feed = ScriptedFeed()
             feed.answers += FeedChanges.HistoryExpired
             backgroundScope.launch {
-                FeedFollower(feed, Recorder(), { MonotonicTime.ZERO }, FeedPace(1.seconds), Random(1)).run()
+                FeedFollower(feed, Recorder(), clock, ages, FeedPace(1.seconds), Random(1)).run()
             }
             runCurrent()
             assertEquals(listOf("list", "changes after 10", "list", "changes after 10"), feed.calls)
@@ -132,7 +137,8 @@
             val follower = FeedFollower(
                 feed,
                 recorder,
-                { MonotonicTime.ZERO },
+                clock,
+                ages,
                 FeedPace(1.seconds),
                 Random(1),
                 toldOnce,
@@ -172,7 +178,7 @@
             val feed = ScriptedFeed().apply { isDown = true }
             val recorder = Recorder()
             backgroundScope.launch {
-                FeedFollower(feed, recorder, { MonotonicTime.ZERO }, FeedPace(1.seconds), Random(1)).run()
+                FeedFollower(feed, recorder, clock, ages, FeedPace(1.seconds), Random(1)).run()
             }
             testScheduler.advanceTimeBy(10.seconds)
             assertTrue(feed.calls.size < 60, "${feed.calls.size} calls in 10 s")
@@ -200,7 +206,7 @@
                 }
             }
             backgroundScope.launch {
-                FeedFollower(feed, listener, { MonotonicTime(7) }, FeedPace(1.seconds), Random(1)).run()
+                FeedFollower(feed, listener, { MonotonicTime(7) }, ages, FeedPace(1.seconds), Random(1)).run()
             }
             testScheduler.advanceTimeBy(1.seconds)
             assertEquals(listOf("list", "changes after 10", "list", "changes after 10"), feed.calls)
--- a/measure/src/main/kotlin/org/nutmegspring/measure/lease/ControlInstance.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/lease/ControlInstance.kt
@@ -93,7 +93,7 @@
 
     private fun keeper(duty: Duty, mayRelease: () -> Boolean): LeaseManager {
         val wish = { DutyPlacement.desiredRole(duty, id, fleet.believedToRun(id)) }
-        return LeaseManager(duty, holder, store, process.clock, rules.lease, wish, mayRelease)
+        return LeaseManager(duty, holder, store, process.clock, rules.lease, wish, canRelease = mayRelease)
     }
 
     private fun connection(engine: EndpointDescription, duty: Duty): VirtualEngineConnection {
--- a/measure/src/main/kotlin/org/nutmegspring/measure/lease/ControlRules.kt
+++ b/measure/src/main/kotlin/org/nutmegspring/measure/lease/ControlRules.kt
@@ -104,7 +104,7 @@
 
 private class LeaseRulesFromReply : LeaseRules(ControlRules.TIMING, ControlRules.TIMING.readInterval) {
     override fun leaseGrantedBy(write: LeaseWrite, now: MonotonicTime): HeldLease? =
-        super.leaseGrantedBy(write, now)?.copy(validUntil = now + timing.duration)
+        super.leaseGrantedBy(write, now)?.copy(since = now)
 }
 
 private class EngineRulesWithoutCover : EngineOrderRules(ControlRules.TIMING, ControlRules.REQUEST_LIMIT) {
--- a/node/src/main/kotlin/org/nutmegspring/node/control/LeaseManager.kt
+++ b/node/src/main/kotlin/org/nutmegspring/node/control/LeaseManager.kt
@@ -14,13 +14,16 @@
 import org.nutmegspring.lease.VersionedLease
 import org.nutmegspring.platform.ObjectStore
 import org.nutmegspring.platform.StoreFailure
+import org.nutmegspring.time.AgeClock
 import org.nutmegspring.time.MonotonicClock
+import org.nutmegspring.time.agesWithoutSuspension
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Acquires, renews and releases the lease of [duty]. Only one coroutine may call [run], but any may call [heldLease].
  *
  * @property desiredRole returns the role of this process in the lease that is desired at present
+ * @property ages measures the age of the lease while this process holds it
  * @property canRelease returns whether no action under the lease can still take effect; the lease is held until then
  */
 class LeaseManager(
@@ -30,6 +33,7 @@
     private val clock: MonotonicClock,
     private val rules: LeaseRules,
     private val desiredRole: () -> LeaseRole,
+    private val ages: AgeClock = clock.agesWithoutSuspension(),
     private val canRelease: () -> Boolean = { true },
 ) {
     private val records = TypedObjectStore(store, LeaseRecord.serializer())
@@ -38,7 +42,7 @@
     private var state = LeaseState(self)
 
     /** Returns the lease if this process holds it at present, or null otherwise. */
-    fun heldLease(): HeldLease? = state.validLease(clock.now())
+    fun heldLease(): HeldLease? = state.validLease(clock.now(), ages)
 
     /** Manages the lease until the coroutine is cancelled. */
     suspend fun run(): Nothing {
@@ -47,8 +51,8 @@
 
     private suspend fun executeNextAction() {
         val era = store.era ?: return learnEra()
-        if (era != state.era) state = rules.onNewEra(state, era, clock.now())
-        when (val action = rules.nextAction(state, effectiveRole(), clock.now())) {
+        if (era != state.era) state = rules.onNewEra(state, era, clock.now(), ages)
+        when (val action = rules.nextAction(state, effectiveRole(), clock.now(), ages)) {
             is LeaseAction.Read -> read()
             is LeaseAction.Write -> write(action.write)
             is LeaseAction.Wait -> delay((action.until - clock.now()).coerceIn(MINIMUM_WAIT, MAXIMUM_WAIT))
--- a/node/src/test/kotlin/org/nutmegspring/node/control/EngineOrdererSpec.kt
+++ b/node/src/test/kotlin/org/nutmegspring/node/control/EngineOrdererSpec.kt
@@ -19,6 +19,7 @@
 import org.nutmegspring.standin.engine.EngineStandInSettings
 import org.nutmegspring.standin.platform.PlatformStandIn
 import org.nutmegspring.storeclient.createHttpPlatform
+import org.nutmegspring.time.agesWithoutSuspension
 import org.nutmegspring.time.systemMonotonicClock
 import kotlin.test.Test
 import kotlin.test.assertContains
@@ -51,7 +52,7 @@
             val connections = HttpEngineConnections(selector, timeout = 3.seconds)
             val orderer =
                 EngineOrderer(store, clock, rules, connections, { clock.now() + 10.minutes }) {
-                    lease.takeIf { it.isValid(clock.now()) }
+                    lease.takeIf { it.isValid(clock.agesWithoutSuspension()) }
                 }
             val description = template.copy(address = engineServer.address)
             val target = engine.state().target.copy(role = EngineRole.DECODE)
@@ -64,7 +65,7 @@
     inner class `given a lease that outlasts the request limit of the engine` {
         @Test
         fun `brings the engine to the target and records the order`() {
-            val lease = HeldLease(FencingToken(3), clock.now() + 10.minutes)
+            val lease = HeldLease(FencingToken(3), clock.now(), 10.minutes)
             withOrderer(lease) { orderer, engine, platform ->
                 assertEquals(EngineRole.DECODE, engine.state().target.role)
                 assertEquals(1, engine.state().acceptedSequence)
@@ -78,7 +79,7 @@
     inner class `given a lease that does not outlast the request limit of the engine` {
         @Test
         fun `sends no order`() {
-            withOrderer(HeldLease(FencingToken(3), clock.now() + 500.milliseconds)) { _, engine, _ ->
+            withOrderer(HeldLease(FencingToken(3), clock.now(), 500.milliseconds)) { _, engine, _ ->
                 assertEquals(0, engine.state().acceptedSequence)
             }
         }
