QUOTA: how long another instance has run is told by that instance

Cause: the time that the other had run was the difference of two wall clocks. After a step of either it seemed longer than the window, and its charges were taken to be spread over it.

The sender tells the time by its monotonic clock. Reports of versions that do not tell it are read as before.

--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/forwarding/SharedState.kt
@@ -117,7 +117,7 @@
                 instance = report.instance,
                 incarnation = report.incarnation,
                 chargedUnits = report.charges[organisation],
-                runningFor = (wallClockMilliseconds() - report.startedAtMilliseconds).milliseconds,
+                runningFor = findRunningTime(report),
                 reportInterval = report.intervalMilliseconds.milliseconds,
                 expiresAt = now + report.lifetime(MINIMUM_REPORT_LIFETIME),
             )
@@ -129,6 +129,12 @@
         }
     }
 
+    /** A step of the wall clock, here or at the sender, would move the charges of the sender out of the window. */
+    private fun findRunningTime(report: PeerReport): Duration {
+        val milliseconds = report.runningForMilliseconds ?: (wallClockMilliseconds() - report.startedAtMilliseconds)
+        return milliseconds.milliseconds
+    }
+
     /** Returns how far back this instance knows what the fleet charged, null for the whole window. */
     fun findCoverage(): Duration? {
         val now = clock.now()
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/ReportComposer.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/instance/ReportComposer.kt
@@ -37,6 +37,7 @@
     private val pacing: ReportPacing,
     private val clocks: InstanceClocks,
 ) {
+    private val startedAt = clocks.monotonic.now()
     private var sequence = 0L
     private var usageSentAt: MonotonicTime? = null
 
@@ -88,6 +89,7 @@
         promptParts = reports.nextPromptParts(entries.promptParts),
         storeEra = reports.storeEra.value,
         storeEraAgeMilliseconds = reports.storeEraAge().inWholeMilliseconds,
+        runningForMilliseconds = (now - startedAt).inWholeMilliseconds,
         chargeCoverageMilliseconds = quotas.findCoverage()?.inWholeMilliseconds,
     )
 
--- a/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
+++ b/gateway/src/main/kotlin/org/nutmegspring/gateway/peers/PeerReport.kt
@@ -140,6 +140,8 @@
  * @property hasTraffic whether the sender knows that some instance has sent a request to an endpoint
  * @property demands demand by service; only instances that take part in the duties receive it
  * @property demandElapsedMilliseconds the time from the start of the process until [demands] were counted
+ * @property runningForMilliseconds the time since the process started by its monotonic clock, null from a version that
+ * does not tell it
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -171,6 +173,7 @@
     @CborLabel(25) val speeds: List<EndpointSpeedReport> = emptyList(),
     @CborLabel(26) val demands: List<DemandReport> = emptyList(),
     @CborLabel(27) val demandElapsedMilliseconds: Long = 0,
+    @CborLabel(28) val runningForMilliseconds: Long? = null,
 ) {
     /**
      * Returns how long the report is valid: at least [minimum], and [intervals] times the interval between reports. By
--- a/gateway/src/test/kotlin/org/nutmegspring/gateway/forwarding/QuotaTableSpec.kt
+++ b/gateway/src/test/kotlin/org/nutmegspring/gateway/forwarding/QuotaTableSpec.kt
@@ -19,6 +19,7 @@
 import kotlin.test.assertIs
 import kotlin.test.assertNull
 import kotlin.test.assertTrue
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 // Guards against QUOTA: an instance that started after a kill did not know what the fleet had charged in the window.
@@ -26,8 +27,10 @@
     private val clock = TestClock().apply { advance(60.seconds) }
     private val organisation = theatre.copy(quota = QuotaRate(unitsPerSecond = 100.0, burst = 100.0))
 
+    private var wallClockStep = 0.seconds
+
     private fun createTable() =
-        QuotaTable(clock, { (clock.now() - MonotonicTime.ZERO).inWholeMilliseconds }) { 8.seconds }
+        QuotaTable(clock, { (clock.now() - MonotonicTime.ZERO + wallClockStep).inWholeMilliseconds }) { 8.seconds }
             .also { it.configure(configurationOf(organisations = listOf(organisation))) }
 
     private fun QuotaTable.use(requests: Int) =
@@ -37,7 +40,12 @@
         generateSequence { charge(organisation, tokens = null) }.takeWhile { it is QuotaDecision.Admitted }.count()
 
     /** Sends a report of [sender], which has run for 60 s, through the codec to [receiver]. */
-    private fun report(sender: QuotaTable, receiver: QuotaTable, withHistory: Boolean) {
+    private fun report(
+        sender: QuotaTable,
+        receiver: QuotaTable,
+        withHistory: Boolean,
+        runningFor: Duration? = null,
+    ) {
         val report = PeerReport(
             instance = InstanceId("b"),
             incarnation = Incarnation(1),
@@ -47,6 +55,7 @@
             phase = InstancePhase.READY,
             charges = sender.nextCharges(10),
             chargeHistory = if (withHistory) sender.createHistory(10) else null,
+            runningForMilliseconds = runningFor?.inWholeMilliseconds,
         )
         val received = PeerMessageCodec.decode(PeerMessageCodec.encode(PeerMessage.Report(report)))
         receiver.recordPeerReport(assertIs<PeerMessage.Report>(received).report)
@@ -97,4 +106,19 @@
             assertTrue(started.countAdmitted() in 60..80)
         }
     }
+
+    // Guards against QUOTA: a step of the receiver's wall clock made it count a part of what another had charged.
+    @Nested
+    inner class `given an instance that has run for less than a window` {
+        @Test
+        fun `all that it charged counts, although the wall clock has stepped`() {
+            val sender = createTable()
+            val receiver = createTable()
+            clock.advance(4.seconds)
+            sender.use(400)
+            wallClockStep = 30.seconds
+            report(sender, receiver, withHistory = false, runningFor = 4.seconds)
+            assertTrue(receiver.countAdmitted() <= 500)
+        }
+    }
 }
