--- a/command-line/src/test/kotlin/org/nutmegspring/commandline/process/ProductProcess.kt
+++ b/command-line/src/test/kotlin/org/nutmegspring/commandline/process/ProductProcess.kt
@@ -8,7 +8,7 @@
 import java.util.concurrent.TimeUnit
 
 /** A process of the product, started from the class path of the tests with [options]. */
-class ProductProcess(log: File, options: ProcessOptions, vararg arguments: String) : AutoCloseable {
+class ProductProcess(private val log: File, options: ProcessOptions, vararg arguments: String) : AutoCloseable {
     constructor(log: File, vararg arguments: String) : this(log, ProcessOptions(), *arguments)
 
     private val process: Process = ProcessBuilder(command(options, arguments.toList()))
@@ -61,6 +61,10 @@
             0
         }
 
+    /** The end of what was printed, and of the file of errors, which processes may share. */
+    val lastOutput: String
+        get() = (lines.takeLast(LAST_LINES) + log.readLines().takeLast(LAST_LINES)).joinToString("\n")
+
     /** Whether a line with [text] was printed. */
     fun hasPrinted(text: String): Boolean = lines.any { text in it }
 
@@ -77,6 +81,7 @@
     private companion object {
         const val START_LIMIT_SECONDS = 120L
         const val END_LIMIT_SECONDS = 120L
+        const val LAST_LINES = 40
         val ADDRESS = Regex("""\d+\.\d+\.\d+\.\d+:\d+""")
 
         const val KIBIBYTES_PER_MEBIBYTE = 1024
--- a/command-line/src/test/kotlin/org/nutmegspring/commandline/process/SignalsDuringStartSpec.kt
+++ b/command-line/src/test/kotlin/org/nutmegspring/commandline/process/SignalsDuringStartSpec.kt
@@ -38,6 +38,7 @@
         val wasListening: Boolean,
         val wasReady: Boolean,
         val exitCode: Int,
+        val output: String,
     )
 
     private suspend fun signalAfter(time: Duration): Outcome {
@@ -50,7 +51,7 @@
             delay(STEP)
             val wasListening = wasListeningAtFirst || site.isListening
             process.signal("TERM")
-            Outcome(time, wasListening, wasReady, process.exitCode())
+            Outcome(time, wasListening, wasReady, process.exitCode(), process.lastOutput)
         }
     }
 
